Add the design, the build and the interfaces of the modules

Cause: the modules are written at the same time, so their interfaces and the reasons behind them must be fixed first.

Generated clients and a second transport between instances were ruled out: nghttp2 streams carry every message.

--- /dev/null
+++ b/chestnutvane/process/store.h
@@ -0,0 +1,106 @@
+// The interface to the platform's key-value service: get, list, compare-and-swap, leases, watch.
+//
+// A Store is a plain struct of functions; an adapter such as makeHttpStore() fills it in. All
+// functions are asynchronous and may be called from any thread. Callbacks run on a thread of the
+// adapter, exactly once, and must not block.
+//
+// Example:
+//
+//   store.get("config/head", [](Result<StoreEntry, StoreError> result) { ... });
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "chestnutvane/base/enum_names.h"
+#include "chestnutvane/base/result.h"
+#include "chestnutvane/base/time.h"
+
+namespace chestnutvane {
+
+// Why a store call failed.
+enum class StoreFailure {
+    NotFound, // the key or the lease does not exist
+    Conflict, // the key does not have the expected version
+    TooLarge, // the value is above 1 MB
+    Unavailable, // the call surely had no effect
+    AnswerLost, // the call may have taken effect; read back to find out
+    BadAnswer, // the service answered with something that cannot be understood
+};
+
+inline constexpr EnumName<StoreFailure> storeFailureNames[] = {
+        {StoreFailure::NotFound, "not-found"},     {StoreFailure::Conflict, "conflict"},
+        {StoreFailure::TooLarge, "too-large"},     {StoreFailure::Unavailable, "unavailable"},
+        {StoreFailure::AnswerLost, "answer-lost"}, {StoreFailure::BadAnswer, "bad-answer"},
+};
+
+struct StoreError
+{
+    StoreFailure failure = StoreFailure::Unavailable;
+    std::string detail;
+};
+
+// A key with its value. The version goes up with every write to any key of the store and is never
+// reused, also not after a key was removed and written again.
+struct StoreEntry
+{
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0;
+};
+
+// A write that takes effect only if the key has the expected version. Version 0 means that the key
+// must not exist.
+struct CompareAndSwap
+{
+    std::string key;
+    std::uint64_t expectedVersion = 0;
+    std::string value;
+    std::uint64_t leaseId = 0; // 0: the key outlives every lease; else it is removed with the lease
+    bool remove = false; // removes the key in place of writing it
+};
+
+// What a prefix holds after a change.
+struct WatchResult
+{
+    std::uint64_t version = 0; // pass as afterVersion to the next watch
+    std::vector<StoreEntry> entries; // all entries of the prefix
+};
+
+// The functions of a store adapter.
+struct Store
+{
+    // Reads one key. Errors: NotFound, Unavailable, BadAnswer.
+    std::function<void(std::string key, std::function<void(Result<StoreEntry, StoreError>)>)> get;
+
+    // Reads all keys with a prefix. Errors: Unavailable, BadAnswer.
+    std::function<void(std::string prefix, std::function<void(Result<WatchResult, StoreError>)>)>
+            list;
+
+    // Writes or removes one key; yields its new version. Errors: all.
+    std::function<void(CompareAndSwap, std::function<void(Result<std::uint64_t, StoreError>)>)>
+            compareAndSwap;
+
+    // Creates a lease with a time to live; yields its id. Errors: Unavailable, AnswerLost.
+    std::function<void(Milliseconds ttl, std::function<void(Result<std::uint64_t, StoreError>)>)>
+            grantLease;
+
+    // Renews a lease. Errors: NotFound if it has lapsed, Unavailable, AnswerLost.
+    std::function<void(std::uint64_t leaseId, std::function<void(Result<Done, StoreError>)>)>
+            keepAlive;
+
+    // Ends a lease and removes its keys. Errors: NotFound, Unavailable, AnswerLost.
+    std::function<void(std::uint64_t leaseId, std::function<void(Result<Done, StoreError>)>)>
+            revokeLease;
+
+    // Waits until a key with the prefix has a version above afterVersion or was removed after it,
+    // or until maxWait has passed, then yields the prefix's entries. Errors: Unavailable,
+    // BadAnswer.
+    std::function<void(std::string prefix, std::uint64_t afterVersion, Milliseconds maxWait,
+                       std::function<void(Result<WatchResult, StoreError>)>)>
+            watch;
+};
+
+} // namespace chestnutvane
--- /dev/null
+++ b/cmake/ChestnutvaneTargets.cmake
@@ -0,0 +1,35 @@
+# Functions that declare one small target a module. A library NAME is built from the sources given
+# and may use only the headers of the targets listed in DEPS.
+
+function(chestnutvane_library)
+    cmake_parse_arguments(ARG "" "NAME" "SRCS;DEPS" ${ARGN})
+    if(ARG_SRCS)
+        add_library(${ARG_NAME} STATIC ${ARG_SRCS})
+        target_include_directories(${ARG_NAME} PUBLIC ${PROJECT_SOURCE_DIR})
+        target_link_libraries(${ARG_NAME} PUBLIC ${ARG_DEPS} PRIVATE chestnutvane_warnings)
+    else()
+        add_library(${ARG_NAME} INTERFACE)
+        target_include_directories(${ARG_NAME} INTERFACE ${PROJECT_SOURCE_DIR})
+        target_link_libraries(${ARG_NAME} INTERFACE ${ARG_DEPS})
+    endif()
+endfunction()
+
+# Declares a GoogleTest program and registers it with CTest. RapidCheck reads its seed from
+# RC_PARAMS, which is fixed so that each run gives the same verdict.
+function(chestnutvane_test)
+    cmake_parse_arguments(ARG "" "NAME" "SRCS;DEPS;LABELS" ${ARGN})
+    add_executable(${ARG_NAME} ${ARG_SRCS})
+    target_link_libraries(${ARG_NAME} PRIVATE ${ARG_DEPS} chestnutvane_warnings
+                          rapidcheck GTest::gtest GTest::gtest_main)
+    gtest_discover_tests(${ARG_NAME} TEST_PREFIX "${ARG_NAME}." DISCOVERY_TIMEOUT 120
+        PROPERTIES
+        ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=${CHESTNUTVANE_RC_CASES}"
+        LABELS "${ARG_LABELS}")
+endfunction()
+
+# Declares a program.
+function(chestnutvane_program)
+    cmake_parse_arguments(ARG "" "NAME" "SRCS;DEPS" ${ARGN})
+    add_executable(${ARG_NAME} ${ARG_SRCS})
+    target_link_libraries(${ARG_NAME} PRIVATE ${ARG_DEPS} chestnutvane_warnings)
+endfunction()
