--- a/chestnutvane/connection/http_client.h
+++ b/chestnutvane/connection/http_client.h
@@ -119,8 +119,8 @@
     // The connection is closed.
     void cancel(SendId id);
 
-    // Stops reusing all connections that are open now. Exchanges in flight go on.
-    void abandonIdleConnections();
+    // Stops reusing the connections to "host:port" that are open now. Exchanges in flight go on.
+    void abandonConnections(const std::string &authority);
 
 private:
     struct Impl;
