--- /dev/null
+++ b/chestnutvane/process/events.h
@@ -0,0 +1,129 @@
+// Numbered log events, catalogued in docs/events.md.
+#pragma once
+
+#include <string_view>
+
+#include "chestnutvane/base/enum_names.h"
+
+namespace chestnutvane {
+
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+inline constexpr EnumName<LogLevel> logLevelNames[] = {
+        {LogLevel::Debug, "debug"},
+        {LogLevel::Info, "info"},
+        {LogLevel::Warning, "warning"},
+        {LogLevel::Error, "error"},
+};
+
+// Numbers are stable: a number is never given to another event.
+enum class Event {
+    Started = 100,
+    Stopping = 101,
+    Stopped = 102,
+    ListenFailed = 103,
+    LookUpAnswered = 200,
+    RequestRouted = 201,
+    RequestRefused = 202,
+    RequestEnded = 203,
+    RequestRetried = 204,
+    RequestForwarded = 205,
+    ConnectionSilent = 206,
+    TargetProbed = 207,
+    BrokerTaken = 300,
+    BrokerGivenUp = 301,
+    BrokerRebuilt = 302,
+    GrantReclaimed = 303,
+    CrashCharged = 304,
+    RoleWriteFailed = 305,
+    ConfigAdopted = 400,
+    ConfigRefused = 401,
+    ConfigApplied = 402,
+    ConfigFetched = 403,
+    MoveStepped = 410,
+    MoveWaiting = 411,
+    MemberChanged = 500,
+    LeaseLost = 501,
+    LeaseObtained = 502,
+    Isolated = 503,
+    ContactRegained = 504,
+    StoreFailed = 505,
+};
+
+struct EventRow
+{
+    Event event;
+    LogLevel level;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+inline constexpr EventRow eventRows[] = {
+        {Event::Started, LogLevel::Info, "started", "The instance listens and joins the fleet."},
+        {Event::Stopping, LogLevel::Info, "stopping", "A graceful shutdown has begun."},
+        {Event::Stopped, LogLevel::Info, "stopped", "The shutdown is complete."},
+        {Event::ListenFailed, LogLevel::Error, "listen-failed", "A listener cannot be opened."},
+        {Event::LookUpAnswered, LogLevel::Info, "look-up-answered",
+         "A caller was told which instances to use."},
+        {Event::RequestRouted, LogLevel::Info, "request-routed",
+         "A request was given a target by the broker of its unit."},
+        {Event::RequestRefused, LogLevel::Info, "request-refused",
+         "A request was refused; the fields give outcome and reason."},
+        {Event::RequestEnded, LogLevel::Info, "request-ended",
+         "An attempt at a target ended; the fields give its result."},
+        {Event::RequestRetried, LogLevel::Info, "request-retried", "A further attempt is made."},
+        {Event::RequestForwarded, LogLevel::Info, "request-forwarded",
+         "A one-time request went to the incarnation that its key names."},
+        {Event::ConnectionSilent, LogLevel::Warning, "connection-silent",
+         "A reused connection had no byte for the silence limit."},
+        {Event::TargetProbed, LogLevel::Info, "target-probed",
+         "A target was asked for its health over a new connection."},
+        {Event::BrokerTaken, LogLevel::Info, "broker-taken",
+         "This instance took the broker role of a unit."},
+        {Event::BrokerGivenUp, LogLevel::Info, "broker-given-up",
+         "This instance gave up the broker role of a unit."},
+        {Event::BrokerRebuilt, LogLevel::Info, "broker-rebuilt",
+         "All holders have reported their grants to the new broker."},
+        {Event::GrantReclaimed, LogLevel::Warning, "grant-reclaimed",
+         "A grant that its holder no longer lists was taken back."},
+        {Event::CrashCharged, LogLevel::Warning, "crash-charged",
+         "A target crashed; a request in flight on it is now suspect."},
+        {Event::RoleWriteFailed, LogLevel::Warning, "role-write-failed",
+         "The store refused or lost a write of a broker role."},
+        {Event::ConfigAdopted, LogLevel::Info, "config-adopted", "A revision is in force."},
+        {Event::ConfigRefused, LogLevel::Warning, "config-refused",
+         "An offered configuration was not taken."},
+        {Event::ConfigApplied, LogLevel::Info, "config-applied",
+         "An operator's change ended with a verdict."},
+        {Event::ConfigFetched, LogLevel::Info, "config-fetched",
+         "The configuration was asked for at a peer."},
+        {Event::MoveStepped, LogLevel::Info, "move-stepped", "A move advanced by one step."},
+        {Event::MoveWaiting, LogLevel::Info, "move-waiting",
+         "A move does not advance; the field gives the reason."},
+        {Event::MemberChanged, LogLevel::Info, "member-changed",
+         "The status of another instance changed."},
+        {Event::LeaseLost, LogLevel::Warning, "lease-lost", "The store lease has lapsed."},
+        {Event::LeaseObtained, LogLevel::Info, "lease-obtained", "A store lease was granted."},
+        {Event::Isolated, LogLevel::Error, "isolated",
+         "No contact with the store or any peer; no new work is taken."},
+        {Event::ContactRegained, LogLevel::Info, "contact-regained",
+         "Contact is back; new work is taken again."},
+        {Event::StoreFailed, LogLevel::Warning, "store-failed", "A call to the store failed."},
+};
+
+// Returns the row of an event.
+constexpr const EventRow &eventRow(Event event)
+{
+    for (const auto &row : eventRows) {
+        if (row.event == event)
+            return row;
+    }
+    return eventRows[0];
+}
+
+} // namespace chestnutvane
--- /dev/null
+++ b/chestnutvane/process/log.h
@@ -0,0 +1,44 @@
+// Structured log lines: one line for an event, as "time level number name key=value ...".
+//
+// Example:
+//
+//   logEvent(Event::RequestRouted, {{"request", id}, {"target", name}, {"reason", "most-free"}});
+//
+// Thread-safe. No field may hold a body, a one-time key or a credential.
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "chestnutvane/process/events.h"
+
+namespace chestnutvane {
+
+struct LogField
+{
+    LogField(std::string_view fieldKey, std::string_view text) : key(fieldKey), value(text) { }
+    LogField(std::string_view fieldKey, const char *text) : key(fieldKey), value(text) { }
+    LogField(std::string_view fieldKey, const std::string &text) : key(fieldKey), value(text) { }
+    template <class Number>
+    requires std::is_arithmetic_v<Number> LogField(std::string_view fieldKey, Number number)
+        : key(fieldKey), value(std::to_string(number))
+    { }
+
+    std::string_view key;
+    std::string value;
+};
+
+// Sets the lowest level written and the sampling of routing decisions (events 200 to 299 of level
+// info): one of "sample" requests is written. Call once, before the first line.
+void setUpLog(LogLevel lowest, std::uint32_t sample, const std::string &instanceId);
+
+// Tells whether a routing decision with this number is written. Callers that check it first spare
+// the work of making the fields.
+bool isSampled(std::uint64_t number);
+
+// Writes a line if the event's level is high enough.
+void logEvent(Event event, std::initializer_list<LogField> fields);
+
+} // namespace chestnutvane
