--- a/chestnutvane/request/outcome.h
+++ b/chestnutvane/request/outcome.h
@@ -32,6 +32,7 @@
     KeyMalformed,
     KeyReused, // the same key came with a different request
     KeyExpired, // the key's window is no longer remembered
+    AnswerDropped, // the request ran, but its stored answer had to make room
     KeyOwnerUnreachable,
     Overloaded, // the estimated wait is too long, or a more important request took the place
     NoTarget, // no usable target in any allowed region
@@ -56,6 +57,7 @@
         {Reason::KeyMalformed, "key-malformed"},
         {Reason::KeyReused, "key-reused"},
         {Reason::KeyExpired, "key-expired"},
+        {Reason::AnswerDropped, "answer-dropped"},
         {Reason::KeyOwnerUnreachable, "owner-unreachable"},
         {Reason::Overloaded, "overloaded"},
         {Reason::NoTarget, "no-target"},
