Add the retry policy

Change: a token bucket filled by requests, the history of the attempts of one request with its covering outcome, and the decision with its typed reason. A bucket filled by time was ruled out: it lets a failing service retry at a full rate when its requests have fallen away.

--- /dev/null
+++ b/chestnutvane/request/retry_policy.cc
@@ -0,0 +1,59 @@
+#include "chestnutvane/request/retry_policy.h"
+
+#include <algorithm>
+
+namespace chestnutvane {
+namespace {
+
+// Ten additions of 0.1 come to less than 1 in binary; without the slack the tenth request would
+// not earn its retry.
+constexpr double roundingSlack = 1e-9;
+
+} // namespace
+
+RetryBudget::RetryBudget(double ratio, double burst) : ratio_(ratio), burst_(burst), tokens_(burst)
+{ }
+
+void RetryBudget::onRequest()
+{
+    tokens_ = std::min(burst_, tokens_ + ratio_);
+}
+
+bool RetryBudget::take()
+{
+    if (tokens_ < 1 - roundingSlack)
+        return false;
+    tokens_ = std::max(0.0, tokens_ - 1);
+    return true;
+}
+
+AttemptHistory withAttempt(AttemptHistory history, Outcome outcome)
+{
+    ++history.attempts;
+    history.mayHaveRun = history.mayHaveRun || outcome != Outcome::NotRun;
+    history.ran = history.ran || outcome == Outcome::Ran;
+    return history;
+}
+
+Outcome coveringOutcome(const AttemptHistory &history)
+{
+    if (history.ran)
+        return Outcome::Ran;
+    return history.mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+}
+
+RetryVerdict mayRetry(const RequestClass &requestClass, const AttemptHistory &history,
+                      Duration remaining, Duration expected, RetryBudget &budget)
+{
+    if (history.ran || history.attempts == 0)
+        return RetryVerdict::Finished;
+    if (requestClass.repeat == Repeat::AtMostOnce && history.mayHaveRun)
+        return RetryVerdict::MayHaveRun;
+    if (history.attempts >= maxAttempts)
+        return RetryVerdict::TooManyAttempts;
+    if (remaining <= std::max(expected, Duration::zero()))
+        return RetryVerdict::DeadlineTooNear;
+    return budget.take() ? RetryVerdict::Retry : RetryVerdict::BudgetSpent;
+}
+
+} // namespace chestnutvane
