Add the configuration head, apply and holder

Change: config_head encodes the value of config/head and looks up a change id in it; config_apply drives one apply from store results to a typed verdict; config_holder keeps the highest revision and reports two contents of one revision. A lost write is looked up by its change id and sent again only on top of the same base version, so of a late and a repeated write one takes effect. Ruled out: reporting the conflict of a repeated write as it is, and writing over the newer version. An apply that the tool repeats carries a flag, because the write of the first send may be under way and "not accepted" could be false. Text that is not UTF-8 is refused, because JSON would change it.

--- /dev/null
+++ b/chestnutvane/process/config_apply.cc
@@ -0,0 +1,108 @@
+#include "chestnutvane/process/config_apply.h"
+
+#include <utility>
+
+namespace chestnutvane {
+
+ConfigApply::ConfigApply(ApplyRequest request, TimePoint now)
+    : request_(std::move(request)), deadline_(now + request_.timeout),
+      mayHaveTakenEffect_(request_.repeated)
+{ }
+
+ApplyStep ConfigApply::start(TimePoint /*now*/)
+{
+    return ApplyRead{};
+}
+
+ApplyStep ConfigApply::onPauseOver(TimePoint /*now*/)
+{
+    return ApplyRead{};
+}
+
+ApplyStep ConfigApply::onRead(const Result<StoreEntry, StoreError> &result, TimePoint now)
+{
+    if (!isOk(result)) {
+        if (error(result).failure == StoreFailure::NotFound)
+            return onHead({}, 0, now);
+        return pauseOrGiveUp(ApplyReason::StoreDown, now);
+    }
+    auto head = decodeConfigHead(value(result).value);
+    if (!isOk(head))
+        return withoutProof(ApplyReason::BadHead);
+    return onHead(value(std::move(head)), value(result).version, now);
+}
+
+ApplyStep ConfigApply::onHead(ConfigHead head, std::uint64_t version, TimePoint now)
+{
+    // The change id is looked up before any write: an earlier apply of the same change, perhaps
+    // through another instance, may have been accepted without its operator knowing.
+    switch (lookUpChange(head, request_.changeId, request_.baseRevision)) {
+    case ChangeState::Accepted:
+        return verdict(ApplyOutcome::Accepted, ApplyReason::None, std::move(head));
+    case ChangeState::Superseded:
+        return verdict(ApplyOutcome::Conflict, ApplyReason::None, std::move(head));
+    case ChangeState::Forgotten:
+        return verdict(ApplyOutcome::Undetermined,
+                       head.revision < request_.baseRevision ? ApplyReason::HeadBehindBase
+                                                             : ApplyReason::HistoryExceeded,
+                       std::move(head));
+    case ChangeState::Open:
+        break;
+    }
+    if (now >= deadline_)
+        return withoutProof(ApplyReason::StoreDown);
+    // A lost write that arrives after this one expects the same version, so only one takes effect.
+    written_ = nextConfigHead(head, request_.changeId, request_.author, request_.rules);
+    std::string text = encodeConfigHead(written_);
+    if (const auto readBack = decodeConfigHead(text);
+        !isOk(readBack) || value(readBack) != written_)
+        return withoutProof(ApplyReason::BadText);
+    return ApplyWrite{{.key = std::string(configHeadKey),
+                       .expectedVersion = version,
+                       .value = std::move(text)}};
+}
+
+ApplyStep ConfigApply::onWritten(const Result<std::uint64_t, StoreError> &result, TimePoint now)
+{
+    if (isOk(result))
+        return verdict(ApplyOutcome::Accepted, ApplyReason::None, written_);
+    switch (error(result).failure) {
+    case StoreFailure::Conflict:
+    case StoreFailure::NotFound:
+        // The key may have changed by an earlier write of this very change.
+        return ApplyRead{};
+    case StoreFailure::TooLarge:
+        return withoutProof(ApplyReason::TooLarge);
+    case StoreFailure::Unavailable:
+        return pauseOrGiveUp(ApplyReason::StoreDown, now);
+    case StoreFailure::AnswerLost:
+    case StoreFailure::BadAnswer:
+        break;
+    }
+    mayHaveTakenEffect_ = true;
+    return ApplyRead{};
+}
+
+ApplyStep ConfigApply::pauseOrGiveUp(ApplyReason reason, TimePoint now) const
+{
+    if (now >= deadline_)
+        return withoutProof(reason);
+    return ApplyPause{};
+}
+
+ApplyVerdict ConfigApply::verdict(ApplyOutcome outcome, ApplyReason reason,
+                                  std::optional<ConfigHead> head) const
+{
+    return {.outcome = outcome,
+            .reason = reason,
+            .changeId = request_.changeId,
+            .head = std::move(head)};
+}
+
+ApplyVerdict ConfigApply::withoutProof(ApplyReason reason) const
+{
+    return verdict(mayHaveTakenEffect_ ? ApplyOutcome::Undetermined : ApplyOutcome::NotAccepted,
+                   reason);
+}
+
+} // namespace chestnutvane
--- /dev/null
+++ b/chestnutvane/process/config_test.cc
@@ -0,0 +1,399 @@
+#include <iostream>
+#include <random>
+#include <set>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "chestnutvane/process/config_apply.h"
+#include "chestnutvane/process/config_holder.h"
+
+namespace chestnutvane {
+namespace {
+
+// Ways to handle a lost answer or a late message that the model must find to be wrong.
+enum class Variant {
+    Correct,
+    BlindRetry, // sends the write again after a lost answer and reports its conflict
+    ForcedRetry, // after a conflict, writes over whatever version is there now
+    LastMessageWins, // instances take any configuration that arrives
+};
+
+struct Figures
+{
+    int applies = 0, accepted = 0, conflicts = 0, notAccepted = 0, undetermined = 0, lost = 0;
+    int falseAccepted = 0; // "accepted" for a write that is not in the history
+    int falseRefused = 0; // "conflict" or "not accepted" for a write that is in the history
+    int reverted = 0; // writes that dropped an accepted change
+    int wentBack = 0; // instances that replaced a revision by a lower one
+    int twice = 0; // changes that are in the history twice
+    int diverged = 0; // two contents of one revision, or no last revision after all messages
+};
+
+// Operators apply changes to one store through instances. Calls reach the store in any order or
+// late; answers are lost; the store has outages; instances learn of heads in any order and twice.
+class Deployment
+{
+public:
+    Deployment(Variant variant, std::uint64_t seed, Figures &figures)
+        : variant_(variant), random_(seed), figures_(figures), holders_(3)
+    { }
+
+    void run()
+    {
+        for (int i = 0; i < 250; ++i)
+            step();
+        up_ = true;
+        while (!calls_.empty()) // every write under way takes effect before the verdicts are judged
+            arrive(calls_.size() - 1);
+        judge();
+    }
+
+private:
+    struct Operator
+    {
+        ApplyRequest request;
+        std::optional<ConfigApply> apply;
+        CompareAndSwap lastWrite;
+        bool retried = false;
+        bool done = false;
+        int serial = 0; // tells a late answer of an earlier call from the awaited one
+    };
+    struct Call
+    {
+        std::size_t who;
+        int serial;
+        ApplyStep step;
+    };
+
+    std::size_t below(std::size_t bound) { return random_() % bound; }
+    ConfigHead stored() const { return log_.empty() ? ConfigHead{} : log_.back(); }
+
+    void step()
+    {
+        const auto roll = below(100);
+        if (roll < 8) {
+            begin();
+        } else if (roll < 55) {
+            if (!calls_.empty())
+                arrive(below(calls_.size()));
+        } else if (roll < 62) {
+            loseAnswer();
+        } else if (roll < 66) {
+            up_ = !up_;
+        } else if (roll < 70) {
+            now_ += Milliseconds{below(4000)};
+        } else if (roll < 72) {
+            holders_[below(holders_.size())] = {}; // an instance is replaced
+        } else if (!log_.empty()) {
+            ConfigHolder &holder = holders_[below(holders_.size())];
+            const ConfigHolder &peer = holders_[below(holders_.size())];
+            if (roll < 85)
+                learn(holder, log_[below(log_.size())], ConfigSource::Store);
+            else
+                learn(holder, peer.head(), ConfigSource::Peer);
+        }
+    }
+
+    void learn(ConfigHolder &holder, const ConfigHead &head, ConfigSource source)
+    {
+        ConfigHolder next = variant_ == Variant::LastMessageWins ? ConfigHolder{} : holder;
+        figures_.diverged += next.offer(head, source) == ConfigOffer::Conflict ? 1 : 0;
+        figures_.wentBack += next.head().revision < holder.head().revision ? 1 : 0;
+        holder = next;
+    }
+
+    // An operator edits the newest rules, or an older copy of them.
+    void begin()
+    {
+        if (operators_.size() >= 12)
+            return;
+        const ConfigHead base = log_.empty() || below(3) > 0 ? stored() : log_[below(log_.size())];
+        const std::string id = "change-" + std::to_string(operators_.size());
+        if (!operators_.empty() && below(4) == 0)
+            return repeat(below(operators_.size()));
+        operators_.push_back({.request = {.changeId = id,
+                                          .author = "Mei",
+                                          .rules = base.rules + id + "\n",
+                                          .baseRevision = base.revision},
+                              .apply = {},
+                              .lastWrite = {}});
+        startLast();
+    }
+
+    // The instance that applied the change dies, and the tool sends it again through another one.
+    void repeat(std::size_t who)
+    {
+        if (operators_[who].done)
+            return;
+        ++operators_[who].serial;
+        operators_[who].done = true;
+        Operator next{.request = operators_[who].request, .apply = {}, .lastWrite = {}};
+        next.request.repeated = true;
+        operators_.push_back(next);
+        startLast();
+    }
+
+    void startLast()
+    {
+        Operator &who = operators_.back();
+        who.apply.emplace(who.request, now_);
+        take(operators_.size() - 1, who.apply->start(now_));
+    }
+
+    void take(std::size_t who, ApplyStep step)
+    {
+        Operator &op = operators_[who];
+        if (std::holds_alternative<ApplyPause>(step)) {
+            now_ += Milliseconds{100};
+            step = op.apply->onPauseOver(now_);
+        }
+        if (const auto *write = std::get_if<ApplyWrite>(&step))
+            op.lastWrite = write->call;
+        op.done = op.done || std::holds_alternative<ApplyVerdict>(step);
+        if (const auto *verdict = std::get_if<ApplyVerdict>(&step))
+            verdicts_.push_back(*verdict);
+        else
+            calls_.push_back({who, ++op.serial, std::move(step)});
+    }
+
+    // The call reaches the store; its answer reaches the operator unless it was given up.
+    void arrive(std::size_t index)
+    {
+        const Call call = calls_[index];
+        calls_.erase(calls_.begin() + static_cast<std::ptrdiff_t>(index));
+        if (std::holds_alternative<ApplyRead>(call.step)) {
+            Result<StoreEntry, StoreError> result = StoreError{StoreFailure::Unavailable, ""};
+            if (up_ && log_.empty())
+                result = StoreError{StoreFailure::NotFound, ""};
+            else if (up_)
+                result = StoreEntry{"", encodeConfigHead(stored()), log_.size()};
+            if (call.serial == operators_[call.who].serial)
+                take(call.who, operators_[call.who].apply->onRead(result, now_));
+            return;
+        }
+        const CompareAndSwap &write = std::get<ApplyWrite>(call.step).call;
+        Result<std::uint64_t, StoreError> result = StoreError{StoreFailure::Unavailable, ""};
+        if (up_ && write.expectedVersion != log_.size()) {
+            result = StoreError{StoreFailure::Conflict, ""};
+        } else if (up_) {
+            log_.push_back(value(decodeConfigHead(write.value)));
+            result = std::uint64_t{log_.size()};
+        }
+        if (call.serial == operators_[call.who].serial)
+            onAnswer(call.who, result);
+    }
+
+    // The operator's side gives up on a write that may have taken effect, may yet, or never will.
+    void loseAnswer()
+    {
+        if (calls_.empty())
+            return;
+        const std::size_t index = below(calls_.size());
+        const Call call = calls_[index];
+        if (call.serial != operators_[call.who].serial
+            || !std::holds_alternative<ApplyWrite>(call.step))
+            return;
+        ++figures_.lost;
+        ++operators_[call.who].serial;
+        if (const auto fate = below(3); fate == 0)
+            arrive(index);
+        else if (fate == 1)
+            calls_.erase(calls_.begin() + static_cast<std::ptrdiff_t>(index));
+        onAnswer(call.who, StoreError{StoreFailure::AnswerLost, ""});
+    }
+
+    void onAnswer(std::size_t who, const Result<std::uint64_t, StoreError> &result)
+    {
+        Operator &op = operators_[who];
+        const bool conflict = !isOk(result) && error(result).failure == StoreFailure::Conflict;
+        const bool lost = !isOk(result) && error(result).failure == StoreFailure::AnswerLost;
+        if ((variant_ == Variant::BlindRetry && lost)
+            || (variant_ == Variant::ForcedRetry && (lost || (conflict && op.retried)))) {
+            if (conflict)
+                op.lastWrite.expectedVersion = log_.size();
+            op.retried = true;
+            return take(who, ApplyWrite{op.lastWrite});
+        }
+        if (variant_ == Variant::BlindRetry && conflict)
+            return take(who,
+                        ApplyVerdict{.outcome = ApplyOutcome::Conflict,
+                                     .changeId = op.request.changeId});
+        take(who, op.apply->onWritten(result, now_));
+    }
+
+    void judge()
+    {
+        std::multiset<std::string> ids;
+        for (std::size_t i = 0; i < log_.size(); ++i) {
+            ids.insert(log_[i].changeId);
+            const std::string before = i == 0 ? "" : log_[i - 1].rules;
+            if (log_[i].rules.rfind(before, 0) != 0 || log_[i].revision != i + 1)
+                ++figures_.reverted;
+        }
+        for (const auto &op : operators_)
+            figures_.twice += ids.count(op.request.changeId) > 1 ? 1 : 0;
+        for (const auto &verdict : verdicts_) {
+            const bool inHistory = ids.contains(verdict.changeId);
+            ++figures_.applies;
+            switch (verdict.outcome) {
+            case ApplyOutcome::Accepted:
+                ++figures_.accepted;
+                figures_.falseAccepted += inHistory ? 0 : 1;
+                break;
+            case ApplyOutcome::Conflict:
+                ++figures_.conflicts;
+                figures_.falseRefused += inHistory ? 1 : 0;
+                break;
+            case ApplyOutcome::NotAccepted:
+                ++figures_.notAccepted;
+                figures_.falseRefused += inHistory ? 1 : 0;
+                break;
+            case ApplyOutcome::Undetermined:
+                ++figures_.undetermined;
+            }
+        }
+        for (auto &holder : holders_) {
+            learn(holder, stored(), ConfigSource::Store);
+            figures_.diverged += holder.head() != stored() ? 1 : 0;
+        }
+    }
+
+    Variant variant_;
+    std::mt19937_64 random_;
+    Figures &figures_;
+    TimePoint now_{};
+    bool up_ = true;
+    std::vector<ConfigHead>
+            log_; // every head that the store has held; its version is its index + 1
+    std::vector<ConfigHolder> holders_;
+    std::vector<Operator> operators_;
+    std::vector<Call> calls_;
+    std::vector<ApplyVerdict> verdicts_;
+};
+
+Figures simulate(Variant variant, int schedules)
+{
+    Figures f;
+    for (int seed = 1; seed <= schedules; ++seed)
+        Deployment(variant, static_cast<std::uint64_t>(seed), f).run();
+    std::cout << "schedules " << schedules << ", applies " << f.applies << " (accepted "
+              << f.accepted << ", conflict " << f.conflicts << ", not accepted " << f.notAccepted
+              << ", undetermined " << f.undetermined << "), lost answers " << f.lost
+              << ": false accepted " << f.falseAccepted << ", false refused " << f.falseRefused
+              << ", reverted " << f.reverted << ", twice " << f.twice << ", went back "
+              << f.wentBack << ", diverged " << f.diverged << '\n';
+    return f;
+}
+
+// Guards against a lost, reverted or wrongly reported change, and an instance that goes back.
+TEST(ConfigModelTest, NoAcceptedChangeIsLost)
+{
+    const Figures f = simulate(Variant::Correct, 10000);
+    EXPECT_EQ(f.falseAccepted + f.falseRefused, 0);
+    EXPECT_EQ(f.reverted + f.twice, 0);
+    EXPECT_EQ(f.wentBack + f.diverged, 0);
+    for (const int reached : {f.accepted, f.conflicts, f.notAccepted, f.undetermined, f.lost})
+        EXPECT_GT(reached, 250) << "the schedules no longer reach this case";
+}
+
+// Guard against a model that would not notice the fault: each naive variant must fail in it.
+TEST(ConfigModelTest, FindsBlindRetry)
+{
+    EXPECT_GT(simulate(Variant::BlindRetry, 1000).falseRefused, 50);
+}
+
+TEST(ConfigModelTest, FindsForcedRetry)
+{
+    const Figures f = simulate(Variant::ForcedRetry, 1000);
+    EXPECT_GT(f.reverted, 50);
+    EXPECT_GT(f.twice, 50);
+}
+
+TEST(ConfigModelTest, FindsLastMessageWins)
+{
+    EXPECT_GT(simulate(Variant::LastMessageWins, 1000).wentBack, 500);
+}
+
+ConfigHead headAt(std::uint64_t revision)
+{
+    ConfigHead head;
+    while (head.revision < revision)
+        head = nextConfigHead(head, "id-" + std::to_string(head.revision + 1), "Lin", "rules");
+    return head;
+}
+
+// Guards against a verdict about a change that head cannot remember any more.
+TEST(ConfigHeadTest, HistoryTellsUpTo64RevisionsPastTheBase)
+{
+    EXPECT_EQ(lookUpChange(headAt(74), "other", 10), ChangeState::Superseded);
+    EXPECT_EQ(lookUpChange(headAt(74), "id-11", 10), ChangeState::Accepted);
+    EXPECT_EQ(lookUpChange(headAt(75), "id-11", 10), ChangeState::Forgotten);
+    EXPECT_EQ(lookUpChange(headAt(10), "other", 10), ChangeState::Open);
+    EXPECT_EQ(lookUpChange(headAt(9), "other", 10), ChangeState::Forgotten);
+}
+
+// Guards against a head that changes on its way through the store, and one that is not sound.
+RC_GTEST_PROP(ConfigHeadTest, EncodingReadsBack, (std::uint8_t revision, std::uint16_t at))
+{
+    ConfigHead head = headAt(revision + 1U);
+    head.rules = "drain zone=tpe-a # asked by \"林\"\n";
+    const std::string text = encodeConfigHead(head);
+    RC_ASSERT(decodeConfigHead(text) == (Result<ConfigHead, ConfigHeadFault>{head}));
+    RC_ASSERT(!isOk(decodeConfigHead(text.substr(0, at % text.size()))));
+    head.history.back().changeId += "x";
+    RC_ASSERT(decodeConfigHead(encodeConfigHead(head))
+              == (Result<ConfigHead, ConfigHeadFault>{ConfigHeadFault::BadHistory}));
+}
+
+// Guards against "not accepted" for a change that an earlier send may have written, and against
+// rules that differ in the store from the text that was checked.
+TEST(ConfigApplyTest, RepeatedChangeIsNeverSaidToBeNotAccepted)
+{
+    const TimePoint now{};
+    const Result<StoreEntry, StoreError> down = StoreError{StoreFailure::Unavailable, ""};
+    for (const bool repeated : {false, true}) {
+        ConfigApply apply({.changeId = "a", .author = "Mei", .rules = "", .repeated = repeated},
+                          now);
+        apply.start(now);
+        EXPECT_TRUE(std::holds_alternative<ApplyPause>(apply.onRead(down, now)));
+        const auto step = apply.onRead(down, now + Milliseconds{10000});
+        EXPECT_EQ(std::get<ApplyVerdict>(step).outcome,
+                  repeated ? ApplyOutcome::Undetermined : ApplyOutcome::NotAccepted);
+    }
+    ConfigApply apply({.changeId = "a", .author = "Mei", .rules = "\xff"}, now);
+    const auto step = apply.onRead(StoreError{StoreFailure::NotFound, ""}, now);
+    EXPECT_EQ(std::get<ApplyVerdict>(step).reason, ApplyReason::BadText);
+}
+
+// Guards against a starting instance that serves with less than a live peer holds.
+TEST(ConfigHolderTest, StartDuringOutageTakesTheHighestOfThePeers)
+{
+    ConfigHolder holder;
+    EXPECT_EQ(holder.readiness({true, 0, 0}), ConfigReadiness::NoConfiguration);
+    EXPECT_EQ(holder.offer(headAt(5), ConfigSource::Peer), ConfigOffer::Adopted);
+    EXPECT_EQ(holder.readiness({false, 2, 1}), ConfigReadiness::PeersUnheard);
+    EXPECT_TRUE(holder.wantsFrom(7));
+    EXPECT_EQ(holder.readiness({false, 2, 2}), ConfigReadiness::Lagging);
+    EXPECT_EQ(holder.offer(headAt(7), ConfigSource::Peer), ConfigOffer::Adopted);
+    EXPECT_EQ(holder.readiness({false, 2, 2}), ConfigReadiness::Ready);
+}
+
+// Guards against two contents of one revision that go unnoticed, and against a peer that overrules
+// the store.
+TEST(ConfigHolderTest, EqualRevisionsWithDifferentChangesAreAConflict)
+{
+    ConfigHead other = headAt(5);
+    other.changeId = "other";
+    ConfigHolder holder;
+    holder.offer(other, ConfigSource::Peer);
+    EXPECT_EQ(holder.offer(headAt(5), ConfigSource::Store), ConfigOffer::Conflict);
+    EXPECT_EQ(holder.head(), headAt(5));
+    EXPECT_EQ(holder.offer(other, ConfigSource::Peer), ConfigOffer::Conflict);
+    EXPECT_EQ(holder.head(), headAt(5));
+    EXPECT_EQ(holder.offer(headAt(4), ConfigSource::Store), ConfigOffer::Older);
+    EXPECT_EQ(holder.conflicts(), 2U);
+}
+
+} // namespace
+} // namespace chestnutvane
