--- /dev/null
+++ b/chestnutvane/process/grant_types.h
@@ -0,0 +1,127 @@
+// Identifiers and values that brokers and grant holders exchange.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "chestnutvane/base/enum_names.h"
+#include "chestnutvane/base/hash.h"
+#include "chestnutvane/base/time.h"
+
+namespace chestnutvane {
+
+// The longest time for which a grant is valid.
+inline constexpr Milliseconds maxGrantTime{30000};
+
+// The incarnation (random 128-bit id of one process start) of an instance that holds grants.
+struct HolderId
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    friend auto operator<=>(const HolderId &, const HolderId &) = default;
+};
+
+// Identifies a target on all instances, whatever revision they have.
+using TargetId = std::uint64_t;
+inline TargetId targetIdOf(std::string_view targetName)
+{
+    return hash64(targetName);
+}
+
+// Identifies a unit, a (service, region) pair.
+using UnitId = std::uint64_t;
+inline UnitId unitIdOf(std::string_view service, std::string_view region)
+{
+    return hash64(region, hash64(service));
+}
+
+// Identifies a grant. The epoch is that of the broker that issued it.
+struct GrantId
+{
+    std::uint64_t epoch = 0;
+    std::uint64_t number = 0;
+
+    friend auto operator<=>(const GrantId &, const GrantId &) = default;
+};
+
+// How the use of a grant ended.
+enum class GrantResult {
+    Succeeded, // a complete answer was received
+    Shed, // the target said that it did not run the request
+    ConnectFailed, // the connection was refused or timed out; nothing was sent
+    ConnectionLost, // the connection ended before the answer was complete
+    TimedOut, // the deadline ended the exchange
+    Cancelled, // the caller went away and the exchange was ended
+    NotSent, // the grant was not used
+};
+
+inline constexpr EnumName<GrantResult> grantResultNames[] = {
+        {GrantResult::Succeeded, "succeeded"},
+        {GrantResult::Shed, "shed"},
+        {GrantResult::ConnectFailed, "connect-failed"},
+        {GrantResult::ConnectionLost, "connection-lost"},
+        {GrantResult::TimedOut, "timed-out"},
+        {GrantResult::Cancelled, "cancelled"},
+        {GrantResult::NotSent, "not-sent"},
+};
+
+// The targets that earlier attempts of a request used. Only the last few are kept.
+struct TriedTargets
+{
+    static constexpr std::size_t capacity = 4;
+
+    std::array<TargetId, capacity> ids{};
+    std::size_t count = 0;
+
+    // Adds a target, in place of the oldest one if there are four already.
+    void add(TargetId target)
+    {
+        if (count == capacity)
+            std::rotate(ids.begin(), ids.begin() + 1, ids.end());
+        else
+            ++count;
+        ids[count - 1] = target;
+    }
+
+    [[nodiscard]] bool contains(TargetId target) const
+    {
+        return std::find(ids.begin(), ids.begin() + static_cast<std::ptrdiff_t>(count), target)
+                != ids.begin() + static_cast<std::ptrdiff_t>(count);
+    }
+
+    friend bool operator==(const TriedTargets &, const TriedTargets &) = default;
+};
+
+// A request for a grant. Sequence numbers are assigned by GrantHolder::startRequest(), go up, and
+// are never reused by an incarnation; a retry or a new send to another broker takes a new one.
+struct GrantRequest
+{
+    HolderId holder;
+    std::uint64_t sequence = 0;
+    int importance = 5; // 0 is the most important, 9 the least
+    Duration queueLimit{}; // longest acceptable wait
+    Duration remaining{}; // time to the request's deadline; the broker cuts it to maxGrantTime
+    std::uint64_t fingerprint = 0; // hash of service, method, path, query and body
+    TriedTargets tried;
+
+    friend bool operator==(const GrantRequest &, const GrantRequest &) = default;
+};
+
+// A grant that a holder still has.
+struct HeldGrant
+{
+    GrantId id;
+    TargetId target = 0;
+    Duration remaining{}; // time to the end of its validity
+    std::uint64_t sequence = 0; // of the request that it answers
+    std::uint64_t fingerprint = 0;
+
+    friend bool operator==(const HeldGrant &, const HeldGrant &) = default;
+};
+
+} // namespace chestnutvane
