--- a/chestnutvane/process/grant_holder.h
+++ b/chestnutvane/process/grant_holder.h
@@ -4,10 +4,10 @@
 //
 //   std::uint64_t sequence = holder.startRequest(unit, fingerprint, now, remaining);
 //   ... send the grant request; on the answer:
-//   GrantAcceptance acceptance = holder.accept(unit, answer, now);
+//   GrantAcceptance acceptance = holder.accept(answer, now);
 //   if (acceptance.verdict == GrantVerdict::Accepted)
 //       ... run the exchange, at most until acceptance.endsAt, then:
-//       holder.finish(answer.id);
+//       holder.finish(answer.id, unit);
 //
 // Not thread-safe: the daemon calls it under the grant holder lock.
 #pragma once
@@ -96,6 +96,7 @@
         TargetId target = 0;
         std::uint64_t sequence = 0;
         std::uint64_t fingerprint = 0;
+        bool alone = false;
         TimePoint endsAt;
     };
     struct Unit
--- /dev/null
+++ b/chestnutvane/process/grant_table.cc
@@ -0,0 +1,69 @@
+#include "chestnutvane/process/grant_table.h"
+
+namespace chestnutvane {
+namespace {
+
+// A number has the entry's index in its low bits, so that a release needs no search.
+constexpr int indexBits = 20;
+constexpr std::uint64_t indexMask = (std::uint64_t{1} << indexBits) - 1;
+
+} // namespace
+
+GrantEntry &GrantTable::takeEntry()
+{
+    if (free_.empty()) {
+        entries_.emplace_back();
+        free_.reserve(entries_.capacity());
+        free_.push_back(static_cast<std::uint32_t>(entries_.size() - 1));
+    }
+    const std::uint32_t index = free_.back();
+    free_.pop_back();
+    GrantEntry &entry = entries_[index];
+    entry = GrantEntry{};
+    entry.live = true;
+    return entry;
+}
+
+GrantEntry &GrantTable::issue(std::uint64_t epoch)
+{
+    GrantEntry &entry = takeEntry();
+    const auto index = static_cast<std::uint64_t>(&entry - entries_.data());
+    entry.id = {epoch, (++serial_ << indexBits) | (index & indexMask)};
+    return entry;
+}
+
+GrantEntry &GrantTable::adopt(const GrantId &id)
+{
+    GrantEntry &entry = takeEntry();
+    entry.id = id;
+    return entry;
+}
+
+GrantEntry *GrantTable::find(const GrantId &id, std::uint64_t epoch)
+{
+    if (id.epoch == epoch) {
+        const std::uint64_t index = id.number & indexMask;
+        if (index >= entries_.size() || !entries_[index].live || entries_[index].id != id)
+            return nullptr;
+        return &entries_[index];
+    }
+    for (GrantEntry &entry : entries_) {
+        if (entry.live && entry.id == id)
+            return &entry;
+    }
+    return nullptr;
+}
+
+void GrantTable::remove(GrantEntry &entry)
+{
+    entry.live = false;
+    free_.push_back(static_cast<std::uint32_t>(&entry - entries_.data()));
+}
+
+void GrantTable::reserve(std::size_t count)
+{
+    entries_.reserve(count);
+    free_.reserve(count);
+}
+
+} // namespace chestnutvane
--- /dev/null
+++ b/chestnutvane/process/grant_table.h
@@ -0,0 +1,63 @@
+// The grants of one broker that are counted as in use. Allocates only to grow.
+//
+// Not thread-safe.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "chestnutvane/base/time.h"
+#include "chestnutvane/process/grant_types.h"
+
+namespace chestnutvane {
+
+struct GrantEntry
+{
+    GrantId id;
+    HolderId holder;
+    std::uint64_t sequence = 0;
+    std::uint64_t fingerprint = 0;
+    std::size_t targetIndex = 0;
+    TimePoint issuedAt;
+    TimePoint endsAt; // the holder has ended the exchange by then
+    std::uint64_t missingList = 0; // number of the last held list that lacked the grant
+    int missingLists = 0;
+    bool probe = false;
+    bool alone = false;
+    bool holderGone = false; // reclaimed after endsAt without a release or list
+    bool live = false; // whether the entry is a grant
+    std::uint64_t mark = 0; // the last held list that has it, by GrantTable::nextMark()
+};
+
+class GrantTable
+{
+public:
+    // Adds a grant and gives it a number unique in the epoch.
+    GrantEntry &issue(std::uint64_t epoch);
+
+    // Adds a grant of an earlier epoch.
+    GrantEntry &adopt(const GrantId &id);
+
+    // Returns the grant, or null. Grants of other epochs than the given one are searched linearly.
+    GrantEntry *find(const GrantId &id, std::uint64_t epoch);
+
+    void remove(GrantEntry &entry);
+
+    // All entries, also those that are not live.
+    std::vector<GrantEntry> &entries() { return entries_; }
+
+    std::uint64_t nextMark() { return ++mark_; }
+
+    // Grows to the given number of grants in advance.
+    void reserve(std::size_t count);
+
+private:
+    GrantEntry &takeEntry();
+
+    std::vector<GrantEntry> entries_;
+    std::vector<std::uint32_t> free_;
+    std::uint64_t serial_ = 0;
+    std::uint64_t mark_ = 0;
+};
+
+} // namespace chestnutvane
--- a/chestnutvane/process/grant_types.h
+++ b/chestnutvane/process/grant_types.h
@@ -120,6 +120,7 @@
     Duration remaining{}; // time to the end of its validity
     std::uint64_t sequence = 0; // of the request that it answers
     std::uint64_t fingerprint = 0;
+    bool alone = false; // no other request may run on the target
 
     friend bool operator==(const HeldGrant &, const HeldGrant &) = default;
 };
--- a/chestnutvane/process/slot_broker.h
+++ b/chestnutvane/process/slot_broker.h
@@ -55,7 +55,7 @@
     std::size_t maxQueued = 4096; // bounds memory; the estimated wait is the usual bound
     Duration longestGrant = maxGrantTime; // longest class deadline of the service, if shorter
     Duration initialServiceTime = Milliseconds(20); // assumed until the first measurement
-    bool warmStart = false; // whether the targets of the first setTargets() are not cold
+    bool warmStart = false; // the first setTargets() is no cold start; set it for a takeover
 };
 
 // Sent to the holder: it may send the request to the target. The grant ends at the time at which
@@ -128,8 +128,9 @@
 
     // Starts the rebuild after a takeover. The list must hold every incarnation that may have a
     // grant of an earlier epoch: all with a live store lease, and all heard of within maxGrantTime
-    // plus the lease TTL. Nothing is granted until each has reported or is proven dead for the
-    // longest grant time. Must be called once, before the first request.
+    // plus the lease TTL. Until each has reported or is proven dead for the longest grant time,
+    // only slots are granted that a reporting holder is known to have had and given back. Must be
+    // called once, after the first setTargets() and before the first request.
     void startRebuild(std::span<const HolderId> holders, TimePoint now, std::uint64_t random,
                       BrokerEffects &effects);
 
--- /dev/null
+++ b/chestnutvane/process/target_slots.cc
@@ -0,0 +1,234 @@
+#include "chestnutvane/process/target_slots.h"
+
+namespace chestnutvane {
+namespace {
+
+// Slots that no grant may be using, whatever the effective limit is.
+int unusedSlots(const TargetSlots &target)
+{
+    return target.slots - target.inUse - target.unknown;
+}
+
+void raiseLimit(TargetSlots &target, TimePoint now)
+{
+    const Milliseconds interval = target.cold ? coldRaiseInterval : shedRaiseInterval;
+    if (target.limit >= target.slots || now - target.lastLimitChange < interval)
+        return;
+    ++target.limit;
+    target.lastLimitChange = now;
+    if (target.limit >= target.slots)
+        target.cold = false;
+}
+
+// The target answered over its connection, so its process accepts connections.
+void noteReachable(TargetSlots &target, TimePoint now)
+{
+    if (hasFailed(target))
+        startCold(target, now);
+    target.connectFailures = 0;
+}
+
+void noteShed(TargetSlots &target, TimePoint issuedAt, TimePoint now)
+{
+    target.lastFailure = now;
+    // Requests sent before the last reduction tell nothing about the reduced load.
+    if (issuedAt < target.lastShed)
+        return;
+    target.limit = std::max(1, std::min(target.limit, target.slots) / 2);
+    target.lastLimitChange = now;
+    target.lastShed = now;
+    target.cold = false;
+}
+
+CrashSign noteDown(TargetSlots &target, TimePoint now)
+{
+    target.downAt = now;
+    if (target.lost.empty())
+        return CrashSign::None;
+    if (now - target.lastLost <= crashWindow)
+        return CrashSign::AllLost;
+    target.lost.clear();
+    return CrashSign::None;
+}
+
+CrashSign noteLost(TargetSlots &target, std::uint64_t fingerprint, TimePoint issuedAt,
+                   TimePoint now)
+{
+    target.lastFailure = now;
+    if (issuedAt < target.downAt && now - target.downAt <= crashWindow)
+        return CrashSign::ThisOne;
+    // More losses than slots within the window add no further suspects worth keeping.
+    if (target.lost.size() >= 2 * static_cast<std::size_t>(target.slots))
+        target.lost.erase(target.lost.begin());
+    target.lost.push_back(fingerprint);
+    target.lastLost = now;
+    return CrashSign::None;
+}
+
+// Calls better(candidate, best) for all targets with allowed(candidate), from a random start.
+template <class Allowed, class Better>
+std::optional<std::size_t> pickBest(std::span<const TargetSlots> targets, std::uint64_t random,
+                                    Allowed allowed, Better better)
+{
+    std::optional<std::size_t> best;
+    const std::size_t start = targets.empty() ? 0 : random % targets.size();
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        std::size_t index = start + i;
+        if (index >= targets.size())
+            index -= targets.size();
+        if (allowed(targets[index]) && (!best || better(targets[index], targets[*best])))
+            best = index;
+    }
+    return best;
+}
+
+bool hasUntried(std::span<const TargetSlots> targets, const TriedTargets &tried)
+{
+    return std::any_of(targets.begin(), targets.end(), [&](const TargetSlots &target) {
+        return effectiveSlots(target) > 0 && !tried.contains(target.id);
+    });
+}
+
+bool isReportedFull(const TargetSlots &target)
+{
+    return target.reportedFullAt > target.lastSuccess;
+}
+
+} // namespace
+
+void startCold(TargetSlots &target, TimePoint now)
+{
+    target.limit = 1;
+    target.cold = target.slots > 1;
+    target.lastLimitChange = now;
+}
+
+bool hasFailed(const TargetSlots &target)
+{
+    return target.connectFailures >= connectFailureLimit;
+}
+
+bool isUsable(const TargetSlots &target)
+{
+    return !target.drained && !target.leavingByRules && !target.leavingByReport && !target.removed;
+}
+
+int effectiveSlots(const TargetSlots &target)
+{
+    return isUsable(target) && !hasFailed(target) ? std::min(target.limit, target.slots) : 0;
+}
+
+int freeSlots(const TargetSlots &target)
+{
+    if (target.alone || target.reserved)
+        return 0;
+    return std::max(0, effectiveSlots(target) - target.inUse - target.unknown);
+}
+
+CrashSign noteOutcome(TargetSlots &target, GrantResult result, std::uint64_t fingerprint,
+                      TimePoint issuedAt, TimePoint now)
+{
+    switch (result) {
+    case GrantResult::Succeeded:
+        noteReachable(target, now);
+        target.lastSuccess = now;
+        raiseLimit(target, now);
+        // A request sent after the losses was served, so the process may well have lived on.
+        if (issuedAt > target.lastLost && issuedAt > target.downAt)
+            target.lost.clear();
+        return CrashSign::None;
+    case GrantResult::Shed:
+        noteReachable(target, now);
+        noteShed(target, issuedAt, now);
+        return CrashSign::None;
+    case GrantResult::ConnectFailed:
+        target.lastFailure = now;
+        ++target.connectFailures;
+        return noteDown(target, now);
+    case GrantResult::ConnectionLost:
+        return noteLost(target, fingerprint, issuedAt, now);
+    case GrantResult::TimedOut:
+        target.lastFailure = now;
+        return CrashSign::None;
+    case GrantResult::Cancelled:
+    case GrantResult::NotSent:
+        return CrashSign::None;
+    }
+    return CrashSign::None;
+}
+
+CrashSign noteStartId(TargetSlots &target, std::uint64_t startId, TimePoint now)
+{
+    if (startId == 0 || startId == target.startId)
+        return CrashSign::None;
+    const bool restarted = target.startId != 0;
+    target.startId = startId;
+    if (!restarted)
+        return CrashSign::None;
+    startCold(target, now);
+    return noteDown(target, now);
+}
+
+std::optional<std::size_t> pickTarget(std::span<const TargetSlots> targets,
+                                      const TriedTargets &tried, std::uint64_t random)
+{
+    const bool avoidTried = tried.count > 0 && hasUntried(targets, tried);
+    return pickBest(
+            targets, random,
+            [&](const TargetSlots &target) {
+                return freeSlots(target) > 0 && !(avoidTried && tried.contains(target.id));
+            },
+            [](const TargetSlots &a, const TargetSlots &b) {
+                const int freeA = freeSlots(a);
+                const int freeB = freeSlots(b);
+                if (freeA != freeB)
+                    return freeA > freeB;
+                if (a.lastFailure != b.lastFailure)
+                    return a.lastFailure < b.lastFailure;
+                return !isReportedFull(a) && isReportedFull(b);
+            });
+}
+
+std::optional<std::size_t> pickIdleTarget(std::span<const TargetSlots> targets,
+                                          const TriedTargets &tried, std::uint64_t random)
+{
+    const bool avoidTried = tried.count > 0 && hasUntried(targets, tried);
+    return pickBest(
+            targets, random,
+            [&](const TargetSlots &target) {
+                return effectiveSlots(target) > 0 && !target.alone && target.inUse == 0
+                        && target.unknown == 0 && !(avoidTried && tried.contains(target.id));
+            },
+            // The reserved target was kept idle for this.
+            [](const TargetSlots &a, const TargetSlots &b) { return a.reserved && !b.reserved; });
+}
+
+std::optional<std::size_t> pickTargetToReserve(std::span<const TargetSlots> targets,
+                                               const TriedTargets &tried)
+{
+    const bool avoidTried = tried.count > 0 && hasUntried(targets, tried);
+    return pickBest(
+            targets, 0,
+            [&](const TargetSlots &target) {
+                return effectiveSlots(target) > 0 && !target.alone
+                        && !(avoidTried && tried.contains(target.id));
+            },
+            [](const TargetSlots &a, const TargetSlots &b) {
+                return a.inUse + a.unknown < b.inUse + b.unknown;
+            });
+}
+
+std::optional<std::size_t> pickProbe(std::span<const TargetSlots> targets, TimePoint now)
+{
+    return pickBest(
+            targets, 0,
+            [&](const TargetSlots &target) {
+                return hasFailed(target) && isUsable(target) && !target.probing && !target.alone
+                        && unusedSlots(target) > 0
+                        && (target.lastProbe == TimePoint::min()
+                            || now - target.lastProbe >= probeInterval);
+            },
+            [](const TargetSlots &a, const TargetSlots &b) { return a.lastProbe < b.lastProbe; });
+}
+
+} // namespace chestnutvane
