--- a/chestnutvane/process/broker_role.cc
+++ b/chestnutvane/process/broker_role.cc
@@ -79,6 +79,9 @@
     if (input.selfLeaving || input.isolated || !input.storeReachable || !leaseFresh
         || !isRoleFree(entry, input.holderLeaseGone))
         return decision;
+    const bool givenUp = entry.version == 0 || entry.record.incarnation == HolderId{};
+    if (!givenUp && now - input.storeReachableSince < outageSettleTime)
+        return decision;
     const bool preferred = preferredBroker(input.unit, input.members) == input.selfId;
     if (!preferred && now - input.freeSince < secondaryWait)
         return decision;
--- a/chestnutvane/process/broker_role.h
+++ b/chestnutvane/process/broker_role.h
@@ -63,11 +63,14 @@
     std::span<const RoleMember> members; // of the region, with the own entry
     std::optional<RoleEntry> entry; // nothing: not read since the start
     bool storeReachable = false; // the last store call succeeded
+    TimePoint storeReachableSince; // end of the last outage, or the first contact
     bool holderLeaseGone = false; // the record's incarnation has no lease key, by a store answer
     TimePoint freeSince; // when this instance first saw the role free; ignored otherwise
     TimePoint leaseRenewalStart; // start of the own last successful lease renewal
     bool leaseEverHeld = false; // whether leaseRenewalStart is set
-    bool leaseLost = false; // the store answered that the own lease does not exist
+    // The own lease does not exist or is not the one under which the role was taken. Must stay
+    // set until the role is given up: another instance may have had the role in between.
+    bool leaseLost = false;
     bool peerReportsStoreContact = false; // a reachable peer had store contact in its heartbeat
     bool isolated = false; // contact with neither the store nor a peer
 };
@@ -101,12 +104,18 @@
 // With the store down, each decision allows grants for this long; it must be renewed until then.
 inline constexpr Milliseconds outageGrantTime{1000};
 
+// After an outage a role whose holder lost its lease is taken only after this time: the holder may
+// grant for outageGrantTime after it last heard that all were without the store, and it hears of
+// the contact by the next heartbeat (200 ms).
+inline constexpr Milliseconds outageSettleTime{1500};
+
 // Whether nobody holds the role, so that it may be taken.
 [[nodiscard]] bool isRoleFree(const RoleEntry &entry, bool holderLeaseGone);
 
 // The live, not leaving member with the highest rendezvous hash, or empty if there is none.
 [[nodiscard]] std::string_view preferredBroker(UnitId unit, std::span<const RoleMember> members);
 
+// Decides the next step. Has no effect by itself.
 [[nodiscard]] RoleDecision decideBrokerRole(const RoleInput &input, TimePoint now);
 
 } // namespace chestnutvane
--- a/chestnutvane/process/crash_suspects.cc
+++ b/chestnutvane/process/crash_suspects.cc
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace chestnutvane {
+namespace {
+
+// Ages lag by the time that a heartbeat travels. Without a margin two instances would hand an
+// expiring count back and forth for ever.
+constexpr Milliseconds relayMargin{10000};
+
+} // namespace
 
 CrashSuspects::CrashSuspects(const HolderId &self, std::string region,
                              const CrashSuspectSettings &settings)
@@ -38,7 +45,7 @@
         const Key key{count.fingerprint, count.counter};
         const auto found = entries_.find(key);
         if (found == entries_.end()) {
-            if (count.counter == self_ || count.age >= settings_.keptFor)
+            if (count.counter == self_ || count.age >= settings_.keptFor - relayMargin)
                 continue;
             makeRoom();
             entries_[key] = {count.region, count.crashes, std::min(count.cleared, count.crashes),
--- a/chestnutvane/process/slot_broker_state.cc
+++ b/chestnutvane/process/slot_broker_state.cc
@@ -36,12 +36,20 @@
 
 std::size_t SlotBroker::State::findOrAddTarget(TargetId id)
 {
-    const std::size_t index = findTarget(id);
-    if (index == targets.size()) {
+    std::size_t index = findTarget(id);
+    if (index < targets.size())
+        return index;
+    // Entries of removed targets without a grant are used again, so the list does not grow with
+    // each change of the rules.
+    const auto unused = std::find_if(targets.begin(), targets.end(), [](const TargetSlots &it) {
+        return it.removed && it.inUse == 0 && !it.reserved;
+    });
+    index = static_cast<std::size_t>(unused - targets.begin());
+    if (unused == targets.end())
         targets.emplace_back();
-        targets.back().id = id;
-        targets.back().removed = true;
-    }
+    targets[index] = TargetSlots{};
+    targets[index].id = id;
+    targets[index].removed = true;
     return index;
 }
 
--- /dev/null
+++ b/chestnutvane/process/slot_policy_model.cc
@@ -0,0 +1,377 @@
+#include "chestnutvane/process/slot_policy_model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <queue>
+#include <random>
+
+#include "chestnutvane/process/slot_broker.h"
+
+namespace chestnutvane {
+namespace {
+
+struct Arrival
+{
+    double at = 0;
+    double serviceMs = 0;
+    int instance = 0;
+    std::size_t classIndex = 0;
+};
+
+std::vector<Arrival> makeArrivals(const ModelSettings &settings)
+{
+    std::mt19937_64 random(settings.seed);
+    const double perMs = settings.use * settings.targets * settings.slots / settings.meanServiceMs;
+    std::exponential_distribution<double> gap(perMs);
+    std::exponential_distribution<double> service(1 / settings.meanServiceMs);
+    std::uniform_int_distribution<int> instance(0, settings.instances - 1);
+    std::vector<double> shares;
+    for (const ModelClass &it : settings.classes)
+        shares.push_back(it.share);
+    std::discrete_distribution<std::size_t> classOf(shares.begin(), shares.end());
+    std::vector<Arrival> arrivals;
+    for (double at = gap(random); at < settings.durationMs; at += gap(random))
+        arrivals.push_back({at, service(random), instance(random), classOf(random)});
+    return arrivals;
+}
+
+// Runs events in the order of their time, then of their addition.
+class Schedule
+{
+public:
+    void at(double time, std::function<void()> run)
+    {
+        events_.push({time, ++added_, std::move(run)});
+    }
+
+    void runAll()
+    {
+        while (!events_.empty()) {
+            const Event event = events_.top();
+            events_.pop();
+            now_ = event.time;
+            event.run();
+        }
+    }
+
+    [[nodiscard]] double now() const { return now_; }
+    [[nodiscard]] bool empty() const { return events_.empty(); }
+
+private:
+    struct Event
+    {
+        double time = 0;
+        std::uint64_t order = 0;
+        std::function<void()> run;
+
+        bool operator<(const Event &other) const
+        {
+            return time != other.time ? time > other.time : order > other.order;
+        }
+    };
+
+    std::priority_queue<Event> events_;
+    std::uint64_t added_ = 0;
+    double now_ = 0;
+};
+
+double percentile(std::vector<double> &values, double fraction)
+{
+    if (values.empty())
+        return 0;
+    const auto rank = static_cast<std::size_t>(fraction * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(rank),
+                     values.end());
+    return values[rank];
+}
+
+// What all policies share: targets, arrivals and measurements.
+class Model
+{
+public:
+    explicit Model(const ModelSettings &settings)
+        : settings_(settings), arrivals_(makeArrivals(settings)),
+          running_(static_cast<std::size_t>(settings.targets)), latencies_(settings.classes.size())
+    {
+        result_.classes.resize(settings.classes.size());
+        for (const Arrival &arrival : arrivals_) {
+            if (arrival.at >= settings.warmUpMs)
+                ++result_.classes[arrival.classIndex].arrived;
+        }
+    }
+
+    void dispatched(std::size_t target)
+    {
+        ++result_.dispatches;
+        if (++running_[target] > settings_.slots)
+            ++result_.aboveSlots;
+    }
+
+    void completed(std::size_t arrivalIndex, std::size_t target)
+    {
+        --running_[target];
+        const Arrival &arrival = arrivals_[arrivalIndex];
+        const double latency = schedule_.now() - arrival.at;
+        if (arrival.at < settings_.warmUpMs)
+            return;
+        latencies_[arrival.classIndex].push_back(latency);
+        if (latency <= settings_.classes[arrival.classIndex].deadlineMs
+            && schedule_.now() <= settings_.durationMs)
+            usefulMs_ += arrival.serviceMs;
+    }
+
+    void refused(std::size_t arrivalIndex)
+    {
+        const Arrival &arrival = arrivals_[arrivalIndex];
+        if (arrival.at < settings_.warmUpMs)
+            return;
+        ModelClassResult &counts = result_.classes[arrival.classIndex];
+        ++counts.refused;
+        if (schedule_.now() - arrival.at <= settings_.roundTripMs + 1e-6)
+            ++counts.refusedAtOnce;
+    }
+
+    ModelResult finish()
+    {
+        std::vector<double> all;
+        for (std::size_t i = 0; i < latencies_.size(); ++i) {
+            std::vector<double> &values = latencies_[i];
+            all.insert(all.end(), values.begin(), values.end());
+            result_.classes[i].p50Ms = percentile(values, 0.5);
+            result_.classes[i].p99Ms = percentile(values, 0.99);
+            result_.classes[i].p999Ms = percentile(values, 0.999);
+        }
+        result_.p50Ms = percentile(all, 0.5);
+        result_.p99Ms = percentile(all, 0.99);
+        result_.p999Ms = percentile(all, 0.999);
+        result_.goodput = usefulMs_
+                / ((settings_.durationMs - settings_.warmUpMs) * settings_.targets
+                   * settings_.slots);
+        return result_;
+    }
+
+    Schedule &schedule() { return schedule_; }
+    const std::vector<Arrival> &arrivals() { return arrivals_; }
+    const ModelSettings &settings() { return settings_; }
+    std::vector<int> &running() { return running_; }
+
+private:
+    ModelSettings settings_;
+    std::vector<Arrival> arrivals_;
+    Schedule schedule_;
+    std::vector<int> running_;
+    std::vector<std::vector<double>> latencies_;
+    double usefulMs_ = 0;
+    ModelResult result_;
+};
+
+ModelResult runOneQueue(const ModelSettings &settings)
+{
+    Model model(settings);
+    std::deque<std::size_t> queue;
+    std::function<void()> serve = [&] {
+        for (std::size_t target = 0; target < model.running().size(); ++target) {
+            while (!queue.empty() && model.running()[target] < settings.slots) {
+                const std::size_t index = queue.front();
+                queue.pop_front();
+                model.dispatched(target);
+                model.schedule().at(model.schedule().now() + model.arrivals()[index].serviceMs,
+                                    [&, index, target] {
+                                        model.completed(index, target);
+                                        serve();
+                                    });
+            }
+        }
+    };
+    for (std::size_t i = 0; i < model.arrivals().size(); ++i)
+        model.schedule().at(model.arrivals()[i].at, [&, i] {
+            queue.push_back(i);
+            serve();
+        });
+    model.schedule().runAll();
+    return model.finish();
+}
+
+ModelResult runLeastReported(const ModelSettings &settings)
+{
+    Model model(settings);
+    Schedule &schedule = model.schedule();
+    std::vector<int> inSystem(model.running().size()); // running and waiting at the target
+    std::vector<int> reported = inSystem;
+    std::vector<std::deque<std::size_t>> waiting(inSystem.size());
+    std::mt19937_64 random(settings.seed + 1);
+    std::uint64_t aboveSlots = 0;
+    std::function<void(std::size_t)> serve = [&](std::size_t target) {
+        while (!waiting[target].empty() && model.running()[target] < settings.slots) {
+            const std::size_t index = waiting[target].front();
+            waiting[target].pop_front();
+            model.dispatched(target);
+            schedule.at(schedule.now() + model.arrivals()[index].serviceMs, [&, index, target] {
+                model.completed(index, target);
+                --inSystem[target];
+                serve(target);
+            });
+        }
+    };
+    std::function<void()> report = [&] {
+        reported = inSystem;
+        if (schedule.now() < settings.durationMs)
+            schedule.at(schedule.now() + settings.reportAgeMs, report);
+    };
+    schedule.at(0, report);
+    for (std::size_t i = 0; i < model.arrivals().size(); ++i)
+        schedule.at(model.arrivals()[i].at, [&, i] {
+            const std::size_t start = random() % reported.size();
+            std::size_t best = start;
+            for (std::size_t k = 0; k < reported.size(); ++k) {
+                const std::size_t target = (start + k) % reported.size();
+                if (reported[target] < reported[best])
+                    best = target;
+            }
+            if (++inSystem[best] > settings.slots)
+                ++aboveSlots;
+            waiting[best].push_back(i);
+            serve(best);
+        });
+    schedule.runAll();
+    ModelResult result = model.finish();
+    result.aboveSlots = aboveSlots;
+    return result;
+}
+
+TimePoint timeOf(double ms)
+{
+    return TimePoint(
+            std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms)));
+}
+
+Duration durationOf(double ms)
+{
+    return timeOf(ms).time_since_epoch();
+}
+
+// Instance 0 is the broker; the messages of the others take half a round trip each way.
+class BrokerRun
+{
+public:
+    explicit BrokerRun(const ModelSettings &settings)
+        : model_(settings), broker_(1, BrokerSettings{.warmStart = true}),
+          random_(settings.seed + 1)
+    { }
+
+    ModelResult run()
+    {
+        const ModelSettings &settings = model_.settings();
+        std::vector<BrokerTarget> targets;
+        for (int i = 0; i < settings.targets; ++i)
+            targets.push_back({static_cast<TargetId>(i), settings.slots, false, false});
+        BrokerEffects none;
+        broker_.setAuthority(TimePoint::max());
+        broker_.setTargets(targets, timeOf(0), 0, none);
+        broker_.startRebuild({}, timeOf(0), 0, none);
+        for (std::size_t i = 0; i < model_.arrivals().size(); ++i) {
+            const Arrival &arrival = model_.arrivals()[i];
+            model_.schedule().at(arrival.at + delay(arrival.instance),
+                                 [this, i] { requestArrives(i); });
+        }
+        tick();
+        model_.schedule().runAll();
+        return model_.finish();
+    }
+
+private:
+    double delay(int instance) { return instance == 0 ? 0 : model_.settings().roundTripMs / 2; }
+
+    TimePoint now() { return timeOf(model_.schedule().now()); }
+
+    void tick()
+    {
+        call([&](BrokerEffects &effects) { broker_.tick(now(), random_(), effects); });
+        if (model_.schedule().now() < model_.settings().durationMs * 1.2)
+            model_.schedule().at(model_.schedule().now() + 10, [this] { tick(); });
+    }
+
+    void requestArrives(std::size_t index)
+    {
+        const Arrival &arrival = model_.arrivals()[index];
+        const ModelClass &modelClass = model_.settings().classes[arrival.classIndex];
+        GrantRequest request;
+        request.holder = {1, static_cast<std::uint64_t>(arrival.instance)};
+        request.sequence = index;
+        request.importance = modelClass.importance;
+        request.queueLimit = durationOf(modelClass.queueLimitMs);
+        request.remaining = durationOf(modelClass.deadlineMs);
+        call([&](BrokerEffects &effects) {
+            broker_.request(request, SuspectVerdict::Clear, now(), random_(), effects);
+        });
+    }
+
+    template <class Call>
+    void call(Call brokerCall)
+    {
+        BrokerEffects effects;
+        brokerCall(effects);
+        for (const BrokerEffect &effect : effects) {
+            if (const auto *grant = std::get_if<GrantEffect>(&effect)) {
+                after(static_cast<int>(grant->holder.low),
+                      [this, it = *grant] { grantArrives(it); });
+            } else if (const auto *refusal = std::get_if<RefusalEffect>(&effect)) {
+                after(static_cast<int>(refusal->holder.low),
+                      [this, index = refusal->sequence] { model_.refused(index); });
+            }
+        }
+    }
+
+    void after(int instance, std::function<void()> run)
+    {
+        model_.schedule().at(model_.schedule().now() + delay(instance), std::move(run));
+    }
+
+    void grantArrives(const GrantEffect &grant)
+    {
+        model_.dispatched(grant.target);
+        const double service = model_.arrivals()[grant.sequence].serviceMs;
+        model_.schedule().at(model_.schedule().now() + service, [this, grant, service] {
+            model_.completed(grant.sequence, grant.target);
+            after(static_cast<int>(grant.holder.low), [this, grant, service] {
+                call([&](BrokerEffects &effects) {
+                    broker_.release(grant.holder, grant.id, GrantResult::Succeeded,
+                                    durationOf(service), now(), random_(), effects);
+                });
+            });
+        });
+    }
+
+    Model model_;
+    SlotBroker broker_;
+    std::mt19937_64 random_;
+};
+
+} // namespace
+
+ModelResult runSlotPolicy(SlotPolicy policy, const ModelSettings &settings)
+{
+    switch (policy) {
+    case SlotPolicy::OneQueue:
+        return runOneQueue(settings);
+    case SlotPolicy::Broker:
+        return BrokerRun(settings).run();
+    case SlotPolicy::LeastReported:
+        return runLeastReported(settings);
+    }
+    return {};
+}
+
+ModelSettings overloadSettings()
+{
+    ModelSettings settings;
+    settings.use = 3;
+    settings.durationMs = 30000;
+    // The first class needs 45% of the slots, the second 75%, the third 180%.
+    settings.classes = {{0, 0.15, 500, 3000}, {2, 0.25, 500, 3000}, {5, 0.60, 500, 3000}};
+    return settings;
+}
+
+} // namespace chestnutvane
