--- /dev/null
+++ b/chestnutvane/process/membership.h
@@ -0,0 +1,264 @@
+// The instances of the deployment as one instance knows them (design page, section 7.6).
+//
+// Example:
+//
+//   MembershipTable table(ownRecord, {});
+//   table.addSeed("127.0.0.1:8082");
+//   for (const HeartbeatTarget &target : table.heartbeatTargets(now))
+//       send(target.peerAddress, encodeHeartbeat(table.makeHeartbeat(target, now)));
+//   if (auto heartbeat = decodeHeartbeat(body); isOk(heartbeat))
+//       table.receive(value(heartbeat), now);
+//
+// MembershipTable is not thread-safe; the daemon guards it by the membership lock.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "chestnutvane/base/enum_names.h"
+#include "chestnutvane/base/result.h"
+#include "chestnutvane/base/time.h"
+
+namespace chestnutvane {
+
+// What an instance says about itself.
+enum class MemberState {
+    Joining,
+    Serving,
+    Leaving,
+};
+
+inline constexpr EnumName<MemberState> memberStateNames[] = {
+        {MemberState::Joining, "joining"},
+        {MemberState::Serving, "serving"},
+        {MemberState::Leaving, "leaving"},
+};
+
+// What the table makes of a member.
+enum class MemberStatus {
+    Unheard, // known by address only; contacted, but never listed
+    Joining,
+    Serving,
+    Leaving,
+    Silent, // not heard for silentAfter
+    Gone, // not heard for goneAfter, or left; not contacted again
+};
+
+inline constexpr EnumName<MemberStatus> memberStatusNames[] = {
+        {MemberStatus::Unheard, "unheard"}, {MemberStatus::Joining, "joining"},
+        {MemberStatus::Serving, "serving"}, {MemberStatus::Leaving, "leaving"},
+        {MemberStatus::Silent, "silent"},   {MemberStatus::Gone, "gone"},
+};
+
+struct HeldUnit
+{
+    std::string service;
+    std::string region;
+    std::uint64_t epoch = 0;
+
+    friend bool operator==(const HeldUnit &, const HeldUnit &) = default;
+};
+
+// Headroom of a unit as its broker measured it.
+struct UnitHeadroom
+{
+    std::string service;
+    std::string region;
+    std::uint64_t epoch = 0;
+    std::uint32_t freeSlots = 0;
+    std::uint32_t totalSlots = 0;
+    std::uint32_t queued = 0;
+    Milliseconds age{0}; // at the time the record was made
+
+    friend bool operator==(const UnitHeadroom &, const UnitHeadroom &) = default;
+};
+
+// Progress of a move as an instance has seen it in the store and uses it in its answers.
+struct MoveReport
+{
+    std::string move;
+    std::uint64_t seenStep = 0;
+    double seenProgress = 0;
+    std::uint64_t adoptedStep = 0;
+
+    friend bool operator==(const MoveReport &, const MoveReport &) = default;
+};
+
+struct MemberRecord
+{
+    std::string id;
+    std::string incarnation; // 32 hexadecimal digits
+    // Orders the incarnations of one id. Set from the wall clock at start and raised by
+    // MembershipTable::receive() above any older incarnation that peers still remember, because
+    // clocks of replaced machines differ.
+    std::uint64_t generation = 0;
+    std::uint64_t sequence = 0; // goes up with every record of one incarnation
+    std::string zone;
+    std::string callerAddress;
+    std::string operatorAddress;
+    std::string peerAddress;
+    MemberState state = MemberState::Joining;
+    std::uint64_t revision = 0;
+    std::vector<HeldUnit> brokers;
+    std::vector<UnitHeadroom> headroom;
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> crashCounts; // fingerprint, crashes
+    std::vector<MoveReport> moves;
+    std::optional<Milliseconds> storeContactAge; // nothing: never had contact
+    double load = 0; // requests in flight over the connection limit
+
+    friend bool operator==(const MemberRecord &, const MemberRecord &) = default;
+};
+
+// A record passed on by an instance that is not its subject.
+struct RelayedRecord
+{
+    MemberRecord record;
+    Milliseconds age{0}; // since the subject made it, as far as the relays know
+
+    friend bool operator==(const RelayedRecord &, const RelayedRecord &) = default;
+};
+
+// What one instance sends to another in each period.
+struct Heartbeat
+{
+    MemberRecord sender;
+    std::vector<RelayedRecord> relayed; // at most MembershipOptions::maxRelayed
+    std::vector<std::string> knownAddresses; // peer addresses, at most maxKnownAddresses
+
+    friend bool operator==(const Heartbeat &, const Heartbeat &) = default;
+};
+
+enum class HeartbeatFailure {
+    NotCbor,
+    BadField, // a field is missing, of the wrong type or out of range
+    TooLarge,
+};
+
+inline constexpr EnumName<HeartbeatFailure> heartbeatFailureNames[] = {
+        {HeartbeatFailure::NotCbor, "not-cbor"},
+        {HeartbeatFailure::BadField, "bad-field"},
+        {HeartbeatFailure::TooLarge, "too-large"},
+};
+
+struct HeartbeatError
+{
+    HeartbeatFailure failure = HeartbeatFailure::NotCbor;
+    std::string detail;
+};
+
+inline constexpr std::size_t maxHeartbeatBytes = 1U << 20U;
+
+std::string encodeHeartbeat(const Heartbeat &heartbeat);
+
+// Reads a heartbeat. Never throws on malformed input.
+Result<Heartbeat, HeartbeatError> decodeHeartbeat(std::string_view bytes);
+
+struct MembershipOptions
+{
+    Milliseconds silentAfter{1500};
+    Milliseconds goneAfter{10000};
+    // How long a gone member is remembered, so that a late record does not bring it back.
+    Milliseconds forgetAfter{60000};
+    std::size_t otherZonePeers = 6; // members of other zones that get a heartbeat in a period
+    std::size_t maxRelayed = 8; // records relayed in one heartbeat
+    std::size_t maxKnownAddresses = 16; // addresses passed on in one heartbeat
+    std::size_t maxUnheardPerPeriod = 4; // addresses without a known member contacted in a period
+};
+
+struct HeartbeatTarget
+{
+    std::string id; // empty for an address whose member is not known yet
+    std::string peerAddress;
+
+    friend bool operator==(const HeartbeatTarget &, const HeartbeatTarget &) = default;
+};
+
+// What a received heartbeat changed.
+struct ReceiveResult
+{
+    bool ownGenerationRaised = false;
+    bool senderIsNew = false; // a new id or a new incarnation
+    bool senderAccepted = false; // false: older incarnation or not a newer sequence number
+    std::uint64_t highestRevision = 0; // among the sender and the relayed records
+};
+
+struct Member
+{
+    MemberRecord record;
+    MemberStatus status = MemberStatus::Unheard;
+    TimePoint heardAt; // the time the record was made, as far as known
+    bool direct = false; // the record came from the member itself
+};
+
+class MembershipTable
+{
+public:
+    MembershipTable(MemberRecord self, MembershipOptions options);
+
+    // Replaces the own record. Keeps id, incarnation and generation, raises the sequence number,
+    // and keeps the state leaving once it was set.
+    void updateSelf(MemberRecord record);
+    const MemberRecord &self() const { return self_; }
+
+    // Adds an address from the settings or the platform's list. It is contacted until it is heard.
+    void addSeed(const std::string &peerAddress);
+
+    // Replaces the addresses from the platform's list by a newer list. The list lags, so it neither
+    // makes a member live nor removes one that is heard.
+    void setPlatformSeeds(std::vector<std::string> peerAddresses);
+
+    ReceiveResult receive(const Heartbeat &heartbeat, TimePoint now);
+
+    // Marks a member as gone, for example after its lease was seen to be revoked. Has no effect if
+    // the incarnation is no longer the member's.
+    void markGone(const std::string &id, const std::string &incarnation, TimePoint now);
+
+    // Status of a member at a time; nothing if the id is not known.
+    std::optional<MemberStatus> statusOf(const std::string &id, TimePoint now) const;
+
+    // All members heard of and not forgotten, with their status at the time; the own record first.
+    std::vector<Member> members(TimePoint now) const;
+
+    // Returns the member with the id, or nothing.
+    std::optional<Member> find(const std::string &id, TimePoint now) const;
+
+    // The addresses that get a heartbeat in this period: all members of the own zone, then
+    // otherZonePeers members of other zones and maxUnheardPerPeriod unheard addresses in rotation.
+    // Call once in each period; forgets members that have been gone for long.
+    std::vector<HeartbeatTarget> heartbeatTargets(TimePoint now);
+
+    // The heartbeat for a target: the own record, relayed records in rotation, known addresses.
+    Heartbeat makeHeartbeat(const HeartbeatTarget &target, TimePoint now);
+
+private:
+    struct Known
+    {
+        MemberRecord record;
+        TimePoint heardAt;
+        bool direct = false;
+        bool markedGone = false;
+    };
+
+    MemberStatus statusAt(const Known &known, TimePoint now) const;
+    bool accept(const MemberRecord &record, TimePoint heardAt, bool direct, ReceiveResult &result);
+
+    MemberRecord self_;
+    MembershipOptions options_;
+    std::map<std::string, Known> known_;
+    std::vector<std::string> seeds_;
+    std::vector<std::string> platformSeeds_;
+    std::deque<std::string> learned_; // addresses from other members' heartbeats, bounded
+    std::size_t rotation_ = 0;
+    std::size_t unheardRotation_ = 0;
+    std::size_t relayRotation_ = 0;
+    std::size_t addressRotation_ = 0;
+};
+
+} // namespace chestnutvane
