Raise the progress of moves under the cap

Change: the cap is divided by floor((W + TTL + lag) / interval) + 1 steps, 14 with the defaults, in place of 12.4. A step also waits until every instance that may be answering uses the current one: without this, callers of an instance that was cut off jump when it dies. Ruled out: an own meter in each instance, progress from the wall clock, a factor without TTL or lag, use of the seen progress at once; each is in the test and breaks the cap.

--- a/chestnutvane/process/move_progress.h
+++ b/chestnutvane/process/move_progress.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -56,7 +57,7 @@
     Link, // the link to the destination is at its cap
     Cold, // latency in the destination is above its long-term mean, caches are cold
     Store, // the store cannot be reached
-    Adoption, // a live instance does not use the current step yet
+    Adoption, // an instance that may be answering does not use the current step yet
     DestinationDrained,
 };
 
@@ -90,7 +91,9 @@
     double longTermLatencyMs = 0; // 0: not known
     double linkUse = 0; // share of the link's capacity, estimated
     double linkCap = 1; // share of the link's capacity that steering may fill
-    // Lowest step that any live serving instance uses; nothing: no instance reports the move.
+    // Lowest step that any serving instance uses; nothing: no instance reports the move. A silent
+    // instance counts with its last report while the platform lists it as live: cut off with its
+    // callers it may still answer with old progress, and the callers would jump if it died.
     std::optional<std::uint64_t> lowestAdoptedStep;
     double shiftCapPercent = 100; // rule "cap shift=all"
     int activeMoves = 1; // moves that are not done and share shiftCapPercent
@@ -110,6 +113,17 @@
 double stepSize(const MoveRule &rule, const MoveOptions &options, double shiftCapPercent = 100,
                 int activeMoves = 1);
 
+// Share of callers whose answer in force, new or cached, names the destination at a time.
+struct ShareSample
+{
+    TimePoint time;
+    double share = 0;
+};
+
+// Returns the largest rise between two samples that are at most a window apart, for comparison with
+// the cap. The samples are in the order of time.
+double largestRise(std::span<const ShareSample> samples, Milliseconds window);
+
 // What one instance knows of all moves.
 class MoveProgress
 {
@@ -131,7 +145,8 @@
                           const MoveConditions &conditions, TimePoint now) const;
 
     // Progress to use in answers at the time: follows the seen value by at most one step per step
-    // interval. 0 for an unknown move.
+    // interval. 0 for an unknown move. Call it also before each heartbeat, as it moves
+    // adoptedStep() on.
     double adopted(const std::string &move, TimePoint now);
 
     // Step to which adopted() belongs, for the heartbeat.
@@ -154,8 +169,7 @@
         TimePoint changedAt; // when this instance saw the last change
         MoveValue adopted;
         TimePoint adoptedAt;
-        bool adoptAtOnce = true;
-        double largestStep = 0; // progress per step between the last two values seen
+        bool adoptAtOnce = false;
     };
 
     MoveOptions options_;
--- /dev/null
+++ b/chestnutvane/process/move_progress_test.cc
@@ -0,0 +1,354 @@
+#include "chestnutvane/process/move_progress.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+namespace chestnutvane {
+namespace {
+
+enum class Policy {
+    Designed,
+    EachSpendsTheCap, // each instance meters the cap itself and adds its steps to those of others
+    WallClock, // progress from the wall clock, clocks differ and are corrected in mid-run
+    NoTtlFactor, // step of cap * interval / window
+    TtlFactorOnly, // step of cap * interval / (window + TTL)
+    NoAdoptionLimit, // the seen progress is used at once, and nobody waits for others to follow
+};
+
+enum class Refresh {
+    AllAtOnce, // just before expiry up to a drawn time, after it each 300 ms
+    Uniform, // at a drawn time within the TTL, each caller on its own
+    JustBeforeExpiry,
+};
+
+// Ten instances, a store with delayed watches and callers that cache answers, in ticks of 100 ms.
+// Time runs from 0 to the end of the run; everything random comes from the seed.
+class Deployment
+{
+public:
+    Deployment(Policy policy, Refresh refresh, std::uint32_t seed)
+        : policy_(policy), refresh_(refresh), random_(seed), instances_(instanceCount)
+    {
+        rule_.percent = 100;
+        rule_.capPercentPerMinute = cap * 100;
+        // Half of the instances are cut off with their callers; sometimes the platform wrongly
+        // reports them as gone.
+        cutOffAt_ = draw(100, 400);
+        cutOffEnd_ = cutOffAt_ + draw(20, 400);
+        cutOffListed_ = draw(0, 1) == 0;
+        eagerAt_ = draw(0, 600);
+        maxWatchDelay_ = draw(0, 1) * 10;
+        deadAt_ = draw(0, 1200);
+        deadInstance_ = draw(0, instanceCount - 1);
+        // A wrongly unlisted instance does not also die while it is behind: see design page.
+        if (!cutOffListed_ && deadInstance_ < cutOffCount)
+            deadInstance_ += cutOffCount;
+        for (int i = 0; i < callerCount; ++i)
+            callers_.push_back(
+                    {i % instanceCount, draw(0, refresh == Refresh::AllAtOnce ? 0 : 20), false});
+    }
+
+    double largestRiseOfShare()
+    {
+        std::vector<ShareSample> samples;
+        for (tick_ = 0; tick_ < 1500; ++tick_) {
+            tryStep();
+            watchStore();
+            int moved = 0;
+            for (int i = 0; i < callerCount; ++i) {
+                Caller &caller = callers_[i];
+                if (tick_ >= caller.refreshAt)
+                    lookUp(i, caller);
+                moved += caller.moved;
+            }
+            samples.push_back({now(), static_cast<double>(moved) / callerCount});
+        }
+        return largestRise(samples, options_.window);
+    }
+
+    double finalProgress() const { return stored_.progress; }
+
+    static constexpr double cap = 0.3; // per minute
+    // Each instance rounds the share of its callers to whole callers.
+    static constexpr double tolerance = 0.005;
+
+private:
+    static constexpr int instanceCount = 10;
+    static constexpr int cutOffCount = 5;
+    static constexpr int callerCount = 2000;
+    static constexpr int ttlTicks = 20;
+
+    struct Instance
+    {
+        MoveProgress progress{MoveOptions{}};
+        int nextWatch = 0;
+        int lastOwnStep = 0;
+        double answer = 0;
+    };
+    struct Caller
+    {
+        int instance;
+        int refreshAt;
+        bool moved;
+    };
+
+    int draw(int low, int high) { return std::uniform_int_distribution<>(low, high)(random_); }
+    TimePoint now() const { return TimePoint{} + Milliseconds{100} * tick_; }
+    bool isCutOff(int i) const
+    {
+        return i < cutOffCount && tick_ >= cutOffAt_ && tick_ < cutOffEnd_;
+    }
+    bool isDead(int i) const { return i == deadInstance_ && tick_ >= deadAt_; }
+
+    void watchStore()
+    {
+        for (int i = 0; i < instanceCount; ++i) {
+            Instance &instance = instances_[i];
+            if (tick_ >= instance.nextWatch && !isCutOff(i)) {
+                instance.progress.observe("m", stored_, version_, now());
+                instance.nextWatch = tick_ + draw(0, maxWatchDelay_);
+            }
+            instance.answer = answer(i);
+        }
+    }
+
+    double answer(int i)
+    {
+        MoveProgress &progress = instances_[i].progress;
+        const double adopted = progress.adopted("m", now());
+        if (policy_ == Policy::WallClock) {
+            const int skew = tick_ < 700 ? i * 40 - 400 : 0;
+            return cap * std::max(0, tick_ + skew) / 600;
+        }
+        if (policy_ == Policy::NoAdoptionLimit || policy_ == Policy::EachSpendsTheCap)
+            return progress.seen("m")->progress;
+        return adopted;
+    }
+
+    void tryStep()
+    {
+        MoveConditions conditions;
+        conditions.storeReachable = true;
+        conditions.headroom = 0.5;
+        for (int i = 0; i < instanceCount; ++i) {
+            const bool isHeard = !isCutOff(i) && !isDead(i);
+            // The platform's list drops a dead instance after 20 s.
+            const bool isListed = isDead(i) ? tick_ < deadAt_ + 200 : isHeard || cutOffListed_;
+            if (isHeard || isListed)
+                conditions.lowestAdoptedStep
+                        = std::min(conditions.lowestAdoptedStep.value_or(~0ULL),
+                                   instances_[i].progress.adoptedStep("m"));
+        }
+        if (policy_ == Policy::NoAdoptionLimit)
+            conditions.lowestAdoptedStep.reset();
+        // All decide on what they have seen before any write takes effect: writers race.
+        std::vector<StepDecision> decisions;
+        for (int i = 0; i < instanceCount; ++i) {
+            if (isCutOff(i) || isDead(i))
+                continue;
+            Instance &instance = instances_[i];
+            if (policy_ == Policy::EachSpendsTheCap) {
+                if (tick_ - instance.lastOwnStep >= 50) {
+                    instance.lastOwnStep = tick_;
+                    store({std::min(1.0, stored_.progress + stepSize(rule_, options_)),
+                           stored_.step + 1});
+                }
+                continue;
+            }
+            decisions.push_back(instance.progress.nextStep("m", rule_, conditions, now()));
+        }
+        for (StepDecision &decision : decisions) {
+            if (decision.wait != MoveWait::None || decision.expectedVersion != version_)
+                continue;
+            const double interval = 5.0;
+            if (policy_ == Policy::NoTtlFactor)
+                decision.next.progress = stored_.progress + cap * interval / 60;
+            if (policy_ == Policy::TtlFactorOnly)
+                decision.next.progress = stored_.progress + cap * interval / 62;
+            store(decision.next);
+        }
+    }
+
+    void store(const MoveValue &value)
+    {
+        stored_ = value;
+        ++version_;
+    }
+
+    void lookUp(int index, Caller &caller)
+    {
+        while (isDead(caller.instance))
+            caller.instance = draw(0, instanceCount - 1);
+        const double progress = instances_[caller.instance].answer;
+        caller.moved = (index + 0.5) / callerCount < progress;
+        switch (refresh_) {
+        case Refresh::AllAtOnce:
+            caller.refreshAt = tick_ + (tick_ < eagerAt_ ? ttlTicks : 3);
+            break;
+        case Refresh::Uniform:
+            caller.refreshAt = tick_ + draw(1, ttlTicks);
+            break;
+        case Refresh::JustBeforeExpiry:
+            caller.refreshAt = tick_ + ttlTicks;
+            break;
+        }
+    }
+
+    Policy policy_;
+    Refresh refresh_;
+    std::mt19937 random_;
+    MoveOptions options_;
+    MoveRule rule_;
+    std::vector<Instance> instances_;
+    std::vector<Caller> callers_;
+    MoveValue stored_;
+    std::uint64_t version_ = 0;
+    int tick_ = 0;
+    int cutOffAt_ = 0;
+    int cutOffEnd_ = 0;
+    bool cutOffListed_ = true;
+    int eagerAt_ = 0;
+    int maxWatchDelay_ = 0;
+    int deadAt_ = 0;
+    int deadInstance_ = 0;
+};
+
+Refresh genRefresh()
+{
+    return *rc::gen::element(Refresh::AllAtOnce, Refresh::Uniform, Refresh::JustBeforeExpiry);
+}
+
+// Guards against more callers that arrive in the destination within 60 s than the cap allows.
+RC_GTEST_PROP(MoveProgressTest, ShareInForceStaysUnderTheCapInAnyWindow, (std::uint32_t seed))
+{
+    Deployment deployment(Policy::Designed, genRefresh(), seed);
+    const double rise = deployment.largestRiseOfShare();
+    RC_ASSERT(rise <= Deployment::cap + Deployment::tolerance);
+    RC_ASSERT(deployment.finalProgress() > 0.15); // the move gets on in spite of the faults
+}
+
+// Guards against a model that finds no fault: each rule that a simpler version leaves out is
+// needed.
+TEST(MoveProgressTest, SimplerVersionsBreakTheCap)
+{
+    const auto worst = [](Policy policy) {
+        double rise = 0;
+        for (std::uint32_t seed = 0; seed < 40; ++seed) {
+            const auto refresh = static_cast<Refresh>(seed % 3);
+            rise = std::max(rise, Deployment(policy, refresh, seed).largestRiseOfShare());
+        }
+        return rise;
+    };
+    const double limit = Deployment::cap + Deployment::tolerance;
+    const std::pair<Policy, const char *> policies[]
+            = {{Policy::EachSpendsTheCap, "each-spends-the-cap"},
+               {Policy::WallClock, "wall-clock"},
+               {Policy::NoTtlFactor, "no-ttl-factor"},
+               {Policy::TtlFactorOnly, "ttl-factor-only"},
+               {Policy::NoAdoptionLimit, "no-adoption-limit"}};
+    for (const auto &[policy, name] : policies) {
+        const double rise = worst(policy);
+        RecordProperty(name, std::to_string(rise));
+        EXPECT_GT(rise, limit) << name;
+    }
+    const double rise = worst(Policy::Designed);
+    RecordProperty("designed", std::to_string(rise));
+    EXPECT_LE(rise, limit);
+}
+
+// Guards against a fast window scan that misses a rise that a scan of all pairs finds.
+RC_GTEST_PROP(MoveProgressTest, LargestRiseAgreesWithAllPairs, ())
+{
+    std::vector<ShareSample> samples;
+    double expected = 0;
+    for (const int gap : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 40))) {
+        const TimePoint previous = samples.empty() ? TimePoint{} : samples.back().time;
+        samples.push_back({previous + Milliseconds{gap}, *rc::gen::inRange(0, 100) / 100.0});
+        for (const ShareSample &sample : samples) {
+            if (samples.back().time - sample.time <= Milliseconds{50})
+                expected = std::max(expected, samples.back().share - sample.share);
+        }
+    }
+    RC_ASSERT(largestRise(samples, Milliseconds{50}) == expected);
+}
+
+// Guards against a step that is taken in spite of one of the conditions.
+TEST(MoveProgressTest, EachConditionHoldsTheStepBack)
+{
+    MoveProgress progress({});
+    const MoveRule rule{"m", "s", "a", "b", 50, 10};
+    const TimePoint start{};
+    const TimePoint later = start + Milliseconds{5000};
+    MoveConditions good;
+    good.storeReachable = true;
+    good.headroom = 0.15;
+    good.recentLatencyMs = 30;
+    good.longTermLatencyMs = 20;
+    good.linkUse = 0.7;
+    good.linkCap = 0.8;
+    EXPECT_EQ(progress.nextStep("m", rule, good, later).wait, MoveWait::NotSeen);
+    progress.observe("m", {0.2, 3}, 0, start); // from a peer: the version is not known
+    EXPECT_EQ(progress.nextStep("m", rule, good, later).wait, MoveWait::NotSeen);
+    progress.observe("m", {0.2, 3}, 17, start);
+    EXPECT_EQ(progress.nextStep("m", rule, good, later - Milliseconds{1}).wait,
+              MoveWait::StepInterval);
+
+    const StepDecision step = progress.nextStep("m", rule, good, later);
+    EXPECT_EQ(step.wait, MoveWait::None);
+    EXPECT_EQ(step.expectedVersion, 17U);
+    EXPECT_EQ(step.next.step, 4U);
+    EXPECT_DOUBLE_EQ(step.next.progress, 0.2 + 0.1 / 14); // floor(67 s / 5 s) + 1 steps
+    good.shiftCapPercent = 8;
+    good.activeMoves = 2;
+    EXPECT_DOUBLE_EQ(progress.nextStep("m", rule, good, later).next.progress, 0.2 + 0.04 / 14);
+
+    const auto waitWith = [&](auto change) {
+        MoveConditions conditions = good;
+        change(conditions);
+        return progress.nextStep("m", rule, conditions, later).wait;
+    };
+    EXPECT_EQ(waitWith([](auto &c) { c.storeReachable = false; }), MoveWait::Store);
+    EXPECT_EQ(waitWith([](auto &c) { c.headroom = 0.14; }), MoveWait::Headroom);
+    EXPECT_EQ(waitWith([](auto &c) { c.headroom.reset(); }), MoveWait::Headroom);
+    EXPECT_EQ(waitWith([](auto &c) { c.linkUse = 0.8; }), MoveWait::Link);
+    EXPECT_EQ(waitWith([](auto &c) { c.recentLatencyMs = 31; }), MoveWait::Cold);
+    EXPECT_EQ(waitWith([](auto &c) { c.lowestAdoptedStep = 2; }), MoveWait::Adoption);
+    EXPECT_EQ(waitWith([](auto &c) { c.destinationDrained = true; }), MoveWait::DestinationDrained);
+    progress.observe("m", {1, 20}, 30, start);
+    EXPECT_EQ(progress.nextStep("m", rule, good, later).wait, MoveWait::Done);
+}
+
+// Guards against progress that goes back or jumps after a cut-off.
+TEST(MoveProgressTest, AdoptsOneStepPerIntervalUnlessNoAnswersAreInForce)
+{
+    const TimePoint start{};
+    MoveProgress progress({});
+    progress.observe("m", {0.1, 1}, 5, start);
+    EXPECT_EQ(progress.adopted("m", start), 0.1);
+    progress.observe("m", {0.4, 4}, 9, start + Milliseconds{1000});
+    progress.observe("m", {0.3, 3}, 8, start + Milliseconds{1100});
+    EXPECT_EQ(progress.seen("m"), (MoveValue{0.4, 4}));
+    EXPECT_EQ(progress.adopted("m", start + Milliseconds{4999}), 0.1);
+    EXPECT_DOUBLE_EQ(progress.adopted("m", start + Milliseconds{5000}), 0.2);
+    EXPECT_DOUBLE_EQ(progress.adopted("m", start + Milliseconds{9999}), 0.2);
+    EXPECT_EQ(progress.adoptedStep("m"), 2U);
+    progress.noAnswersInForce();
+    EXPECT_EQ(progress.adopted("m", start + Milliseconds{9999}), 0.4);
+}
+
+// Guards against a value in the store that throws out of the reader or passes half read.
+TEST(MoveProgressTest, ReadsOnlyWholeValues)
+{
+    const MoveValue written{0.1 + 0.2, 7};
+    EXPECT_EQ(value(decodeMoveValue(encodeMoveValue(written))), written);
+    for (const char *text : {"", "[]", "{", "{\"progress\":0.5}", "{\"progress\":2,\"step\":1}",
+                             "{\"progress\":0.5,\"step\":-1}", "{\"progress\":\"1\",\"step\":1}"})
+        EXPECT_FALSE(isOk(decodeMoveValue(text))) << text;
+}
+
+} // namespace
+} // namespace chestnutvane
