Add the prefix table

Cause: look-ups need the longest match of 4.1 million client blocks in little memory, and a change of a few blocks must not pause them.

--- /dev/null
+++ b/chestnutvane/version/prefix_table.cc
@@ -0,0 +1,542 @@
+#include "chestnutvane/version/prefix_table.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <utility>
+
+namespace chestnutvane {
+
+namespace internal {
+
+using Key128 = unsigned __int128;
+
+// Bits of a key and the types of the per-block data. "Meta" holds length - 1 in its lower bits and
+// the distance to the enclosing block of the page (0 for none) above them. For IPv4 16 bits hold
+// both, which with the key and the choice makes 7 bytes a block.
+template <class K>
+struct KeyTraits;
+
+template <>
+struct KeyTraits<std::uint32_t>
+{
+    using Meta = std::uint16_t;
+    static constexpr int bits = 32;
+    static constexpr int lengthBits = 5;
+};
+
+template <>
+struct KeyTraits<std::uint64_t>
+{
+    using Meta = std::uint32_t;
+    static constexpr int bits = 64;
+    static constexpr int lengthBits = 6;
+};
+
+template <>
+struct KeyTraits<Key128>
+{
+    using Meta = std::uint32_t;
+    static constexpr int bits = 128;
+    static constexpr int lengthBits = 7;
+};
+
+// The distance to the enclosing block has 11 bits for IPv4.
+constexpr std::size_t maxPageBlocks = 2048;
+// Pages are built three quarters full so that an added block rarely splits one.
+constexpr std::size_t builtPageBlocks = 1536;
+// One key in 16 is repeated in a page's samples: 16 IPv4 keys are one cache line.
+constexpr std::size_t sampleStep = 16;
+
+template <class K>
+struct Entry
+{
+    K start = 0;
+    std::uint8_t length = 0; // at least 1
+    std::uint8_t choice = 0;
+};
+
+template <class K>
+bool entryLess(const Entry<K> &a, const Entry<K> &b)
+{
+    return a.start != b.start ? a.start < b.start : a.length < b.length;
+}
+
+// Tells whether a block contains an address. The length is at least 1.
+template <class K>
+bool contains(K start, int length, K address)
+{
+    return ((start ^ address) >> (KeyTraits<K>::bits - length)) == 0;
+}
+
+template <class K>
+struct Page
+{
+    using Meta = typename KeyTraits<K>::Meta;
+
+    std::vector<K> keys; // padded with the largest key to a multiple of sampleStep
+    std::vector<K> samples; // every sampleStep-th key
+    std::vector<Meta> metas;
+    std::vector<std::uint8_t> choices;
+
+    Entry<K> entry(std::size_t i) const
+    {
+        constexpr unsigned lengthMask = (1U << KeyTraits<K>::lengthBits) - 1;
+        return {keys[i], static_cast<std::uint8_t>((metas[i] & lengthMask) + 1), choices[i]};
+    }
+
+    std::size_t bytes() const
+    {
+        // 64 bytes for the allocator's headers and the control block of the shared pointer.
+        return sizeof(Page) + 64 + (keys.capacity() + samples.capacity()) * sizeof(K)
+                + metas.capacity() * sizeof(Meta) + choices.capacity();
+    }
+};
+
+template <class K>
+std::shared_ptr<const Page<K>> makePage(std::span<const Entry<K>> entries)
+{
+    using Meta = typename KeyTraits<K>::Meta;
+    auto page = std::make_shared<Page<K>>();
+    const std::size_t padded = (entries.size() + sampleStep - 1) / sampleStep * sampleStep;
+    page->keys.assign(padded, static_cast<K>(~K{0}));
+    page->samples.reserve(padded / sampleStep);
+    page->metas.reserve(entries.size());
+    page->choices.reserve(entries.size());
+    std::vector<std::size_t> enclosing;
+    for (std::size_t i = 0; i < entries.size(); ++i) {
+        const auto &entry = entries[i];
+        while (!enclosing.empty()) {
+            const auto &outer = entries[enclosing.back()];
+            if (contains(outer.start, outer.length, entry.start))
+                break;
+            enclosing.pop_back();
+        }
+        const std::size_t distance = enclosing.empty() ? 0 : i - enclosing.back();
+        enclosing.push_back(i);
+        page->keys[i] = entry.start;
+        if (i % sampleStep == 0)
+            page->samples.push_back(entry.start);
+        page->metas.push_back(static_cast<Meta>(distance << KeyTraits<K>::lengthBits
+                                                | static_cast<std::size_t>(entry.length - 1)));
+        page->choices.push_back(entry.choice);
+    }
+    return page;
+}
+
+// Returns the number of keys that are at most "key", for a sorted array. The number of steps
+// depends on "count" alone, and no step branches on a key.
+template <class K>
+std::size_t countAtMost(const K *keys, std::size_t count, K key)
+{
+    const K *base = keys;
+    while (count > 1) {
+        const std::size_t half = count / 2;
+        base = base[half - 1] <= key ? base + half : base;
+        count -= half;
+    }
+    return static_cast<std::size_t>(base - keys) + (count == 1 && *base <= key ? 1 : 0);
+}
+
+// All blocks of one key width, except the block of length 0.
+template <class K>
+class BlockList
+{
+public:
+    static BlockList fromSorted(std::span<const Entry<K>> entries)
+    {
+        BlockList list;
+        std::vector<PagePointer> pages;
+        appendPages(entries, pages);
+        list.setPages(std::move(pages));
+        return list;
+    }
+
+    std::optional<std::uint8_t> lookUp(K address) const
+    {
+        const std::size_t after = countAtMost(firstKeys_.data(), firstKeys_.size(), address);
+        if (after == 0)
+            return std::nullopt;
+        const View &view = views_[after - 1];
+        const std::size_t group = countAtMost(view.samples, view.sampleCount, address) - 1;
+        const std::size_t first = group * sampleStep;
+        // The group's data lies in three arrays; asking for all at once overlaps the cache misses.
+        __builtin_prefetch(view.metas + first);
+        __builtin_prefetch(view.choices + first);
+        const K *keys = view.keys + first;
+        std::size_t atMost = 0;
+        for (std::size_t i = 0; i < sampleStep; ++i)
+            atMost += keys[i] <= address ? 1 : 0;
+        // The padding equals the largest address, so that the count may pass the last block.
+        std::size_t i = std::min<std::size_t>(first + atMost, view.blockCount) - 1;
+        while (true) {
+            constexpr int lengthBits = KeyTraits<K>::lengthBits;
+            const std::size_t meta = view.metas[i];
+            const int length = static_cast<int>(meta & ((1U << lengthBits) - 1)) + 1;
+            if (contains(view.keys[i], length, address))
+                return view.choices[i];
+            const std::size_t distance = meta >> lengthBits;
+            if (distance == 0)
+                break;
+            i -= distance;
+        }
+        for (std::uint32_t outer = view.outerEnd; outer > view.outerBegin; --outer) {
+            const auto &entry = outers_[outer - 1];
+            if (contains(entry.start, entry.length, address))
+                return entry.choice;
+        }
+        return std::nullopt;
+    }
+
+    // Applies changes sorted by block, at most one for each block.
+    BlockList withChanges(std::span<const std::pair<Entry<K>, bool>> changes) const
+    {
+        std::vector<PagePointer> pages;
+        pages.reserve(pages_.size() + 1);
+        std::size_t next = 0;
+        for (std::size_t p = 0; p < std::max<std::size_t>(pages_.size(), 1); ++p) {
+            const std::size_t begin = next;
+            while (next < changes.size()
+                   && (p + 1 >= pages_.size()
+                       || entryLess(changes[next].first, pages_[p + 1]->entry(0))))
+                ++next;
+            if (begin == next) {
+                if (p < pages_.size())
+                    pages.push_back(pages_[p]);
+                continue;
+            }
+            std::vector<Entry<K>> merged;
+            if (p < pages_.size())
+                merged = entriesOf(*pages_[p]);
+            for (const auto &[entry, keep] : changes.subspan(begin, next - begin)) {
+                auto at = std::lower_bound(merged.begin(), merged.end(), entry, entryLess<K>);
+                const bool found = at != merged.end() && !entryLess(entry, *at);
+                if (found && keep)
+                    *at = entry;
+                else if (found)
+                    merged.erase(at);
+                else if (keep)
+                    merged.insert(at, entry);
+            }
+            // Joins with the page before when both are small, so that removals leave no crumbs.
+            if (!pages.empty()
+                && pages.back()->choices.size() + merged.size() < builtPageBlocks / 2) {
+                auto joined = entriesOf(*pages.back());
+                joined.insert(joined.end(), merged.begin(), merged.end());
+                merged = std::move(joined);
+                pages.pop_back();
+            }
+            if (merged.size() <= maxPageBlocks) {
+                if (!merged.empty())
+                    pages.push_back(makePage<K>(merged));
+            } else {
+                appendPages(merged, pages);
+            }
+        }
+        BlockList list;
+        list.setPages(std::move(pages));
+        return list;
+    }
+
+    template <class F>
+    void forEach(F &&visit) const
+    {
+        for (const auto &page : pages_) {
+            for (std::size_t i = 0; i < page->choices.size(); ++i)
+                visit(page->entry(i));
+        }
+    }
+
+    bool empty() const { return pages_.empty(); }
+
+    std::size_t blockCount() const
+    {
+        std::size_t count = 0;
+        for (const auto &page : pages_)
+            count += page->choices.size();
+        return count;
+    }
+
+    std::size_t bytes() const
+    {
+        std::size_t total = pages_.capacity() * sizeof(PagePointer)
+                + views_.capacity() * sizeof(View) + firstKeys_.capacity() * sizeof(K)
+                + outers_.capacity() * sizeof(Entry<K>);
+        for (const auto &page : pages_)
+            total += page->bytes();
+        return total;
+    }
+
+private:
+    using PagePointer = std::shared_ptr<const Page<K>>;
+
+    // What a look-up needs of a page, without the step over the page object.
+    struct View
+    {
+        const K *keys = nullptr;
+        const K *samples = nullptr;
+        const typename KeyTraits<K>::Meta *metas = nullptr;
+        const std::uint8_t *choices = nullptr;
+        std::uint32_t blockCount = 0;
+        std::uint32_t sampleCount = 0;
+        std::uint32_t outerBegin = 0; // blocks of earlier pages that enclose the page's first block
+        std::uint32_t outerEnd = 0;
+    };
+
+    static std::vector<Entry<K>> entriesOf(const Page<K> &page)
+    {
+        std::vector<Entry<K>> entries;
+        entries.reserve(page.choices.size() + 1);
+        for (std::size_t i = 0; i < page.choices.size(); ++i)
+            entries.push_back(page.entry(i));
+        return entries;
+    }
+
+    // Cuts the entries into pages of about equal size.
+    static void appendPages(std::span<const Entry<K>> entries, std::vector<PagePointer> &pages)
+    {
+        const std::size_t count = (entries.size() + builtPageBlocks - 1) / builtPageBlocks;
+        for (std::size_t p = 0; p < count; ++p) {
+            const std::size_t begin = entries.size() * p / count;
+            const std::size_t end = entries.size() * (p + 1) / count;
+            pages.push_back(makePage<K>(entries.subspan(begin, end - begin)));
+        }
+    }
+
+    // Sets the directory. The blocks of earlier pages that enclose a page's first block are the
+    // last block of the page before, or blocks that enclose that one.
+    void setPages(std::vector<PagePointer> pages)
+    {
+        pages_ = std::move(pages);
+        views_.reserve(pages_.size());
+        firstKeys_.reserve(pages_.size());
+        std::vector<Entry<K>> enclosing;
+        for (std::size_t p = 0; p < pages_.size(); ++p) {
+            const auto &page = *pages_[p];
+            View view{page.keys.data(),
+                      page.samples.data(),
+                      page.metas.data(),
+                      page.choices.data(),
+                      static_cast<std::uint32_t>(page.choices.size()),
+                      static_cast<std::uint32_t>(page.samples.size()),
+                      static_cast<std::uint32_t>(outers_.size()),
+                      0};
+            if (p > 0)
+                enclosing = enclosingBlocks(views_[p - 1], *pages_[p - 1], page.keys[0]);
+            outers_.insert(outers_.end(), enclosing.begin(), enclosing.end());
+            view.outerEnd = static_cast<std::uint32_t>(outers_.size());
+            views_.push_back(view);
+            firstKeys_.push_back(page.keys[0]);
+        }
+    }
+
+    // Returns the blocks up to the end of a page that contain an address after it, shortest first.
+    std::vector<Entry<K>> enclosingBlocks(const View &view, const Page<K> &page, K address) const
+    {
+        std::vector<Entry<K>> found;
+        for (std::size_t i = page.choices.size() - 1;;) {
+            if (const auto entry = page.entry(i); contains(entry.start, entry.length, address))
+                found.push_back(entry);
+            const std::size_t distance = page.metas[i] >> KeyTraits<K>::lengthBits;
+            if (distance == 0)
+                break;
+            i -= distance;
+        }
+        for (std::uint32_t outer = view.outerEnd; outer > view.outerBegin; --outer) {
+            const auto &entry = outers_[outer - 1];
+            if (contains(entry.start, entry.length, address))
+                found.push_back(entry);
+        }
+        std::reverse(found.begin(), found.end());
+        return found;
+    }
+
+    std::vector<PagePointer> pages_;
+    std::vector<View> views_;
+    std::vector<K> firstKeys_;
+    std::vector<Entry<K>> outers_;
+};
+
+// The key of an address: IPv4 in 32 bits, the upper half of an IPv6 address in 64.
+template <class K>
+K keyOf(const IpAddress &address)
+{
+    if constexpr (sizeof(K) == 4)
+        return static_cast<K>(address.high >> 32);
+    else if constexpr (sizeof(K) == 8)
+        return address.high;
+    else
+        return static_cast<K>(address.high) << 64 | address.low;
+}
+
+template <class K>
+IpAddress addressOf(K key)
+{
+    if constexpr (sizeof(K) == 4)
+        return {static_cast<std::uint64_t>(key) << 32, 0, IpFamily::V4};
+    else if constexpr (sizeof(K) == 8)
+        return {key, 0, IpFamily::V6};
+    else
+        return {static_cast<std::uint64_t>(key >> 64), static_cast<std::uint64_t>(key),
+                IpFamily::V6};
+}
+
+template <class K>
+Entry<K> entryOf(const ClientBlock &block, std::uint8_t choice)
+{
+    return {keyOf<K>(block.start), block.length, choice};
+}
+
+} // namespace internal
+
+// IPv6 blocks of up to 64 bits, which are nearly all, have keys of half the size. A longer block
+// always wins over them, so that its list is asked first.
+struct PrefixTable::Families
+{
+    internal::BlockList<std::uint32_t> v4;
+    internal::BlockList<std::uint64_t> v6;
+    internal::BlockList<internal::Key128> v6Long;
+    std::optional<std::uint8_t> v4Default; // the block 0.0.0.0/0
+    std::optional<std::uint8_t> v6Default; // the block ::/0
+};
+
+PrefixTable::PrefixTable() : families_(std::make_shared<const Families>()) { }
+
+PrefixTable::PrefixTable(std::shared_ptr<const Families> families) : families_(std::move(families))
+{ }
+
+Result<PrefixTable, PrefixTableError> PrefixTable::build(std::vector<BlockChoice> blocks)
+{
+    using namespace internal;
+    const auto blockLess
+            = [](const BlockChoice &a, const BlockChoice &b) { return a.block < b.block; };
+    if (!std::is_sorted(blocks.begin(), blocks.end(), blockLess))
+        std::sort(blocks.begin(), blocks.end(), blockLess);
+    const auto same = [](const BlockChoice &a, const BlockChoice &b) { return a.block == b.block; };
+    if (std::adjacent_find(blocks.begin(), blocks.end(), same) != blocks.end())
+        return PrefixTableError::DuplicateBlock;
+
+    auto families = std::make_shared<Families>();
+    std::vector<Entry<std::uint32_t>> v4;
+    std::vector<Entry<std::uint64_t>> v6;
+    std::vector<Entry<Key128>> v6Long;
+    for (const auto &[block, choice] : blocks) {
+        const bool isV4 = block.start.family == IpFamily::V4;
+        if (block.length == 0)
+            (isV4 ? families->v4Default : families->v6Default) = choice;
+        else if (isV4)
+            v4.push_back(entryOf<std::uint32_t>(block, choice));
+        else if (block.length <= 64)
+            v6.push_back(entryOf<std::uint64_t>(block, choice));
+        else
+            v6Long.push_back(entryOf<Key128>(block, choice));
+    }
+    families->v4 = BlockList<std::uint32_t>::fromSorted(v4);
+    families->v6 = BlockList<std::uint64_t>::fromSorted(v6);
+    families->v6Long = BlockList<Key128>::fromSorted(v6Long);
+    return PrefixTable(std::move(families));
+}
+
+std::optional<std::uint8_t> PrefixTable::lookUp(const IpAddress &address) const
+{
+    using namespace internal;
+    const auto &families = *families_;
+    if (address.family == IpFamily::V4) {
+        const auto found = families.v4.lookUp(keyOf<std::uint32_t>(address));
+        return found ? found : families.v4Default;
+    }
+    if (!families.v6Long.empty()) {
+        if (const auto found = families.v6Long.lookUp(keyOf<Key128>(address)); found)
+            return found;
+    }
+    const auto found = families.v6.lookUp(keyOf<std::uint64_t>(address));
+    return found ? found : families.v6Default;
+}
+
+PrefixTable PrefixTable::withChanges(std::span<const BlockChange> changes) const
+{
+    using namespace internal;
+    std::map<ClientBlock, std::optional<std::uint8_t>> last;
+    for (const auto &change : changes)
+        last[change.block] = change.choice;
+
+    auto families = std::make_shared<Families>(*families_);
+    std::vector<std::pair<Entry<std::uint32_t>, bool>> v4;
+    std::vector<std::pair<Entry<std::uint64_t>, bool>> v6;
+    std::vector<std::pair<Entry<Key128>, bool>> v6Long;
+    for (const auto &[block, choice] : last) {
+        const bool isV4 = block.start.family == IpFamily::V4;
+        const bool keep = choice.has_value();
+        const std::uint8_t index = choice.value_or(0);
+        if (block.length == 0)
+            (isV4 ? families->v4Default : families->v6Default) = choice;
+        else if (isV4)
+            v4.emplace_back(entryOf<std::uint32_t>(block, index), keep);
+        else if (block.length <= 64)
+            v6.emplace_back(entryOf<std::uint64_t>(block, index), keep);
+        else
+            v6Long.emplace_back(entryOf<Key128>(block, index), keep);
+    }
+    if (!v4.empty())
+        families->v4 = families_->v4.withChanges(v4);
+    if (!v6.empty())
+        families->v6 = families_->v6.withChanges(v6);
+    if (!v6Long.empty())
+        families->v6Long = families_->v6Long.withChanges(v6Long);
+    return PrefixTable(std::move(families));
+}
+
+std::vector<BlockChoice> PrefixTable::blocks() const
+{
+    using namespace internal;
+    std::vector<BlockChoice> all;
+    const auto add = [&all](const auto &entry) {
+        all.push_back({{addressOf(entry.start), entry.length}, entry.choice});
+    };
+    if (families_->v4Default)
+        all.push_back({{{0, 0, IpFamily::V4}, 0}, *families_->v4Default});
+    families_->v4.forEach(add);
+    const auto firstV6 = static_cast<std::ptrdiff_t>(all.size());
+    if (families_->v6Default)
+        all.push_back({{{0, 0, IpFamily::V6}, 0}, *families_->v6Default});
+    families_->v6.forEach(add);
+    families_->v6Long.forEach(add);
+    std::sort(all.begin() + firstV6, all.end(),
+              [](const BlockChoice &a, const BlockChoice &b) { return a.block < b.block; });
+    return all;
+}
+
+PrefixTableSize PrefixTable::size() const
+{
+    return {families_->v4.blockCount(), families_->v4.bytes(),
+            families_->v6.blockCount() + families_->v6Long.blockCount(),
+            families_->v6.bytes() + families_->v6Long.bytes()};
+}
+
+Result<ClientTable, PrefixTableError> compileClients(const std::vector<ClientsRule> &rules)
+{
+    ClientTable compiled;
+    std::map<std::vector<std::pair<std::string, int>>, std::size_t> indexOf;
+    std::vector<BlockChoice> blocks;
+    for (const auto &rule : rules) {
+        const auto block = parseClientBlock(rule.prefix);
+        if (!isOk(block))
+            return PrefixTableError::BadBlock;
+        std::vector<std::pair<std::string, int>> list;
+        for (const auto &[region, weight] : rule.regions)
+            list.emplace_back(region, weight);
+        const auto [at, isNew] = indexOf.emplace(std::move(list), compiled.choices.size());
+        if (isNew)
+            compiled.choices.push_back(rule.regions);
+        if (compiled.choices.size() > maxRegionChoices)
+            return PrefixTableError::TooManyChoices;
+        blocks.push_back({value(block), static_cast<std::uint8_t>(at->second)});
+    }
+    auto table = PrefixTable::build(std::move(blocks));
+    if (!isOk(table))
+        return error(table);
+    compiled.table = value(std::move(table));
+    return compiled;
+}
+
+} // namespace chestnutvane
