--- a/chestnutvane/version/client_block.h
+++ b/chestnutvane/version/client_block.h
@@ -6,7 +6,6 @@
 //   auto address = parseIpAddress("2001:db8::1");
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -33,9 +32,9 @@
     friend bool operator==(const IpAddress &, const IpAddress &) = default;
 
     // Orders IPv4 before IPv6, then by number.
-    friend std::strong_ordering operator<=>(const IpAddress &a, const IpAddress &b)
+    friend bool operator<(const IpAddress &a, const IpAddress &b)
     {
-        return std::tie(a.family, a.high, a.low) <=> std::tie(b.family, b.high, b.low);
+        return std::tie(a.family, a.high, a.low) < std::tie(b.family, b.high, b.low);
     }
 };
 
@@ -46,7 +45,12 @@
     IpAddress start;
     std::uint8_t length = 0; // bits, 0 to 32 for IPv4 and 0 to 128 for IPv6
 
-    friend auto operator<=>(const ClientBlock &, const ClientBlock &) = default;
+    friend bool operator==(const ClientBlock &, const ClientBlock &) = default;
+
+    friend bool operator<(const ClientBlock &a, const ClientBlock &b)
+    {
+        return std::tie(a.start, a.length) < std::tie(b.start, b.length);
+    }
 };
 
 // Why a text is not a block.
--- a/chestnutvane/version/prefix_table.cc
+++ b/chestnutvane/version/prefix_table.cc
@@ -45,8 +45,11 @@
 constexpr std::size_t maxPageBlocks = 2048;
 // Pages are built three quarters full so that an added block rarely splits one.
 constexpr std::size_t builtPageBlocks = 1536;
-// One key in 16 is repeated in a page's samples: 16 IPv4 keys are one cache line.
-constexpr std::size_t sampleStep = 16;
+// 16 IPv4 keys fill one cache line.
+constexpr std::size_t groupSize = 16;
+
+// Slots of the directory for each page. With 8 most look-ups compare at most one page start.
+constexpr std::size_t slotsPerPage = 8;
 
 template <class K>
 struct Entry
@@ -69,27 +72,38 @@
     return ((start ^ address) >> (KeyTraits<K>::bits - length)) == 0;
 }
 
+// Data of 16 blocks in a row. It lies together so that a look-up touches one or two places of the
+// memory page, of which the second is fetched along with the first.
+template <class K>
+struct Group
+{
+    std::array<K, groupSize> keys; // after the last block: the largest key
+    std::array<typename KeyTraits<K>::Meta, groupSize> metas;
+    std::array<std::uint8_t, groupSize> choices;
+};
+
 template <class K>
 struct Page
 {
-    using Meta = typename KeyTraits<K>::Meta;
+    std::vector<Group<K>> groups;
+    std::vector<K> samples; // the first key of each group
+    std::size_t blockCount = 0;
 
-    std::vector<K> keys; // padded with the largest key to a multiple of sampleStep
-    std::vector<K> samples; // every sampleStep-th key
-    std::vector<Meta> metas;
-    std::vector<std::uint8_t> choices;
+    std::size_t meta(std::size_t i) const { return groups[i / groupSize].metas[i % groupSize]; }
 
     Entry<K> entry(std::size_t i) const
     {
         constexpr unsigned lengthMask = (1U << KeyTraits<K>::lengthBits) - 1;
-        return {keys[i], static_cast<std::uint8_t>((metas[i] & lengthMask) + 1), choices[i]};
+        const auto &group = groups[i / groupSize];
+        return {group.keys[i % groupSize], static_cast<std::uint8_t>((meta(i) & lengthMask) + 1),
+                group.choices[i % groupSize]};
     }
 
     std::size_t bytes() const
     {
-        // 64 bytes for the allocator's headers and the control block of the shared pointer.
-        return sizeof(Page) + 64 + (keys.capacity() + samples.capacity()) * sizeof(K)
-                + metas.capacity() * sizeof(Meta) + choices.capacity();
+        // 48 bytes for the allocator's headers and the control block of the shared pointer.
+        return sizeof(Page) + 48 + samples.capacity() * sizeof(K)
+                + groups.capacity() * sizeof(Group<K>);
     }
 };
 
@@ -98,11 +112,11 @@
 {
     using Meta = typename KeyTraits<K>::Meta;
     auto page = std::make_shared<Page<K>>();
-    const std::size_t padded = (entries.size() + sampleStep - 1) / sampleStep * sampleStep;
-    page->keys.assign(padded, static_cast<K>(~K{0}));
-    page->samples.reserve(padded / sampleStep);
-    page->metas.reserve(entries.size());
-    page->choices.reserve(entries.size());
+    const std::size_t groupCount = (entries.size() + groupSize - 1) / groupSize;
+    page->groups.resize(groupCount);
+    page->groups.back().keys.fill(static_cast<K>(~K{0}));
+    page->samples.reserve(groupCount);
+    page->blockCount = entries.size();
     std::vector<std::size_t> enclosing;
     for (std::size_t i = 0; i < entries.size(); ++i) {
         const auto &entry = entries[i];
@@ -114,25 +128,27 @@
         }
         const std::size_t distance = enclosing.empty() ? 0 : i - enclosing.back();
         enclosing.push_back(i);
-        page->keys[i] = entry.start;
-        if (i % sampleStep == 0)
+        auto &group = page->groups[i / groupSize];
+        group.keys[i % groupSize] = entry.start;
+        group.metas[i % groupSize] = static_cast<Meta>(
+                distance << KeyTraits<K>::lengthBits | static_cast<std::size_t>(entry.length - 1));
+        group.choices[i % groupSize] = entry.choice;
+        if (i % groupSize == 0)
             page->samples.push_back(entry.start);
-        page->metas.push_back(static_cast<Meta>(distance << KeyTraits<K>::lengthBits
-                                                | static_cast<std::size_t>(entry.length - 1)));
-        page->choices.push_back(entry.choice);
     }
     return page;
 }
 
 // Returns the number of keys that are at most "key", for a sorted array. The number of steps
-// depends on "count" alone, and no step branches on a key.
+// depends on "count" alone. The step multiplies because the compiler turned a conditional into a
+// branch, which is mispredicted half of the time.
 template <class K>
 std::size_t countAtMost(const K *keys, std::size_t count, K key)
 {
     const K *base = keys;
     while (count > 1) {
         const std::size_t half = count / 2;
-        base = base[half - 1] <= key ? base + half : base;
+        base += static_cast<std::size_t>(base[half - 1] <= key) * half;
         count -= half;
     }
     return static_cast<std::size_t>(base - keys) + (count == 1 && *base <= key ? 1 : 0);
@@ -154,27 +170,25 @@
 
     std::optional<std::uint8_t> lookUp(K address) const
     {
-        const std::size_t after = countAtMost(firstKeys_.data(), firstKeys_.size(), address);
-        if (after == 0)
+        if (firstKeys_.empty() || address < firstKeys_[0])
             return std::nullopt;
-        const View &view = views_[after - 1];
-        const std::size_t group = countAtMost(view.samples, view.sampleCount, address) - 1;
-        const std::size_t first = group * sampleStep;
-        // The group's data lies in three arrays; asking for all at once overlaps the cache misses.
-        __builtin_prefetch(view.metas + first);
-        __builtin_prefetch(view.choices + first);
-        const K *keys = view.keys + first;
+        const View &view = views_[pageOf(address)];
+        const std::size_t g = countAtMost(view.samples, view.sampleCount, address) - 1;
+        const Group<K> &group = view.groups[g];
+        // The choices stand at the end of the group, in another cache line than the keys.
+        __builtin_prefetch(group.choices.data());
         std::size_t atMost = 0;
-        for (std::size_t i = 0; i < sampleStep; ++i)
-            atMost += keys[i] <= address ? 1 : 0;
+        for (const K key : group.keys)
+            atMost += static_cast<std::size_t>(key <= address);
         // The padding equals the largest address, so that the count may pass the last block.
-        std::size_t i = std::min<std::size_t>(first + atMost, view.blockCount) - 1;
+        std::size_t i = std::min<std::size_t>(g * groupSize + atMost, view.blockCount) - 1;
         while (true) {
             constexpr int lengthBits = KeyTraits<K>::lengthBits;
-            const std::size_t meta = view.metas[i];
+            const Group<K> &at = view.groups[i / groupSize];
+            const std::size_t meta = at.metas[i % groupSize];
             const int length = static_cast<int>(meta & ((1U << lengthBits) - 1)) + 1;
-            if (contains(view.keys[i], length, address))
-                return view.choices[i];
+            if (contains(at.keys[i % groupSize], length, address))
+                return at.choices[i % groupSize];
             const std::size_t distance = meta >> lengthBits;
             if (distance == 0)
                 break;
@@ -219,8 +233,7 @@
                     merged.insert(at, entry);
             }
             // Joins with the page before when both are small, so that removals leave no crumbs.
-            if (!pages.empty()
-                && pages.back()->choices.size() + merged.size() < builtPageBlocks / 2) {
+            if (!pages.empty() && pages.back()->blockCount + merged.size() < builtPageBlocks / 2) {
                 auto joined = entriesOf(*pages.back());
                 joined.insert(joined.end(), merged.begin(), merged.end());
                 merged = std::move(joined);
@@ -242,7 +255,7 @@
     void forEach(F &&visit) const
     {
         for (const auto &page : pages_) {
-            for (std::size_t i = 0; i < page->choices.size(); ++i)
+            for (std::size_t i = 0; i < page->blockCount; ++i)
                 visit(page->entry(i));
         }
     }
@@ -253,7 +266,7 @@
     {
         std::size_t count = 0;
         for (const auto &page : pages_)
-            count += page->choices.size();
+            count += page->blockCount;
         return count;
     }
 
@@ -273,10 +286,8 @@
     // What a look-up needs of a page, without the step over the page object.
     struct View
     {
-        const K *keys = nullptr;
+        const Group<K> *groups = nullptr;
         const K *samples = nullptr;
-        const typename KeyTraits<K>::Meta *metas = nullptr;
-        const std::uint8_t *choices = nullptr;
         std::uint32_t blockCount = 0;
         std::uint32_t sampleCount = 0;
         std::uint32_t outerBegin = 0; // blocks of earlier pages that enclose the page's first block
@@ -286,8 +297,8 @@
     static std::vector<Entry<K>> entriesOf(const Page<K> &page)
     {
         std::vector<Entry<K>> entries;
-        entries.reserve(page.choices.size() + 1);
-        for (std::size_t i = 0; i < page.choices.size(); ++i)
+        entries.reserve(page.blockCount + 1);
+        for (std::size_t i = 0; i < page.blockCount; ++i)
             entries.push_back(page.entry(i));
         return entries;
     }
@@ -313,31 +324,62 @@
         std::vector<Entry<K>> enclosing;
         for (std::size_t p = 0; p < pages_.size(); ++p) {
             const auto &page = *pages_[p];
-            View view{page.keys.data(),
+            View view{page.groups.data(),
                       page.samples.data(),
-                      page.metas.data(),
-                      page.choices.data(),
-                      static_cast<std::uint32_t>(page.choices.size()),
+                      static_cast<std::uint32_t>(page.blockCount),
                       static_cast<std::uint32_t>(page.samples.size()),
                       static_cast<std::uint32_t>(outers_.size()),
                       0};
             if (p > 0)
-                enclosing = enclosingBlocks(views_[p - 1], *pages_[p - 1], page.keys[0]);
+                enclosing = enclosingBlocks(views_[p - 1], *pages_[p - 1], page.samples[0]);
             outers_.insert(outers_.end(), enclosing.begin(), enclosing.end());
             view.outerEnd = static_cast<std::uint32_t>(outers_.size());
             views_.push_back(view);
-            firstKeys_.push_back(page.keys[0]);
+            firstKeys_.push_back(page.samples[0]);
         }
+        buildHints();
+    }
+
+    // Cuts the space between the first and the last page's first key into equal slots, and notes
+    // for each how many pages start before it.
+    void buildHints()
+    {
+        if (firstKeys_.empty())
+            return;
+        const K span = firstKeys_.back() - firstKeys_[0];
+        while ((span >> hintShift_) >= firstKeys_.size() * slotsPerPage)
+            ++hintShift_;
+        const auto slots = static_cast<std::size_t>(span >> hintShift_) + 1;
+        hints_.reserve(slots + 1);
+        std::uint32_t before = 0;
+        for (std::size_t slot = 0; slot < slots; ++slot) {
+            const K start = firstKeys_[0] + (static_cast<K>(slot) << hintShift_);
+            while (before < firstKeys_.size() && firstKeys_[before] < start)
+                ++before;
+            hints_.push_back(before);
+        }
+        hints_.push_back(static_cast<std::uint32_t>(firstKeys_.size()));
+    }
+
+    // Returns the last page whose first key is at most the address, which must not be below the
+    // first key of all.
+    std::size_t pageOf(K address) const
+    {
+        const std::size_t slot = static_cast<std::size_t>(
+                std::min<K>((address - firstKeys_[0]) >> hintShift_, hints_.size() - 2));
+        const std::size_t from = hints_[slot];
+        const std::size_t count = hints_[slot + 1] - from;
+        return from + countAtMost(firstKeys_.data() + from, count, address) - 1;
     }
 
     // Returns the blocks up to the end of a page that contain an address after it, shortest first.
     std::vector<Entry<K>> enclosingBlocks(const View &view, const Page<K> &page, K address) const
     {
         std::vector<Entry<K>> found;
-        for (std::size_t i = page.choices.size() - 1;;) {
+        for (std::size_t i = page.blockCount - 1;;) {
             if (const auto entry = page.entry(i); contains(entry.start, entry.length, address))
                 found.push_back(entry);
-            const std::size_t distance = page.metas[i] >> KeyTraits<K>::lengthBits;
+            const std::size_t distance = page.meta(i) >> KeyTraits<K>::lengthBits;
             if (distance == 0)
                 break;
             i -= distance;
@@ -354,6 +396,8 @@
     std::vector<PagePointer> pages_;
     std::vector<View> views_;
     std::vector<K> firstKeys_;
+    std::vector<std::uint32_t> hints_;
+    int hintShift_ = 0;
     std::vector<Entry<K>> outers_;
 };
 
--- a/chestnutvane/version/prefix_table_benchmark.cc
+++ b/chestnutvane/version/prefix_table_benchmark.cc
@@ -123,20 +123,37 @@
     benchmark::DoNotOptimize(at);
 }
 
-// An ordered map by block start. It ignores enclosing blocks, which favours the map.
-template <IpFamily family>
-void BM_Map(benchmark::State &state)
+// Ordered maps by block start. They ignore enclosing blocks, which favours them. BM_Map is filled
+// in the order of the keys, so that neighbours lie side by side in memory; BM_MapShuffled in random
+// order, as a map that grew by changes.
+template <IpFamily family, bool shuffled>
+void runMap(benchmark::State &state)
 {
     const auto &work = workload(family, sizeOf(state));
     std::map<std::uint64_t, std::uint8_t> map;
-    for (const auto &[block, choice] : work.blocks)
-        map.insert_or_assign(map.end(), block.start.high, choice);
+    auto blocks = work.blocks;
+    if (shuffled)
+        std::shuffle(blocks.begin(), blocks.end(), std::mt19937_64(4));
+    for (const auto &[block, choice] : blocks)
+        map.insert_or_assign(block.start.high, choice);
     runDependent(state, work.addresses, [&](const IpAddress &address) {
         const auto after = map.upper_bound(address.high);
         return after == map.begin() ? std::uint8_t{0} : std::prev(after)->second;
     });
 }
 
+template <IpFamily family>
+void BM_Map(benchmark::State &state)
+{
+    runMap<family, false>(state);
+}
+
+template <IpFamily family>
+void BM_MapShuffled(benchmark::State &state)
+{
+    runMap<family, true>(state);
+}
+
 template <IpFamily family>
 void BM_Build(benchmark::State &state)
 {
@@ -241,6 +258,7 @@
     BENCHMARK(BM_LookUp<family>)->Apply(sizes); \
     BENCHMARK(BM_DependentAccess<family>)->Apply(sizes); \
     BENCHMARK(BM_Map<family>)->Apply(sizes); \
+    BENCHMARK(BM_MapShuffled<family>)->Apply(sizes); \
     BENCHMARK(BM_LookUpDuringUpdates<family>)->Apply(sizes); \
     BENCHMARK(BM_Build<family>)->Apply(slowSizes); \
     BENCHMARK(BM_UpdateSharedPages<family>)->Apply(slowSizes); \
--- a/chestnutvane/version/prefix_table_test.cc
+++ b/chestnutvane/version/prefix_table_test.cc
@@ -58,6 +58,7 @@
 std::vector<BlockChoice> blocksOf(const NaiveTable &table)
 {
     std::vector<BlockChoice> blocks;
+    blocks.reserve(table.size());
     for (const auto &[block, choice] : table)
         blocks.push_back({block, choice});
     return blocks;
@@ -155,6 +156,7 @@
     EXPECT_EQ(error(twice), PrefixTableError::DuplicateBlock);
 
     std::vector<ClientsRule> rules;
+    rules.reserve(257);
     for (int i = 0; i < 256; ++i)
         rules.push_back({"10." + std::to_string(i) + ".0.0/16", {{"taipei", i + 1}}});
     const auto full = compileClients(rules);
