Add the isolation decisions

Change: decisions from the ages of store contact, peer contact, lease renewal and the peers' reported store contact. During a store outage a broker goes on only while no peer was in contact with the store after its lease may have lapsed; looking at present contact alone was ruled out, because a broker that was paused through a takeover wakes in a later outage. So every reachable peer must be fresh, and a time without any fresh peer counts like a pause.

--- /dev/null
+++ b/chestnutvane/process/isolation.cc
@@ -0,0 +1,82 @@
+#include "chestnutvane/process/isolation.h"
+
+#include <algorithm>
+
+namespace chestnutvane {
+namespace {
+
+bool isOlder(const std::optional<Duration> &age, Duration limit)
+{
+    return !age || *age >= limit;
+}
+
+// The age of a peer's store contact now. The transit of the heartbeat is left out, so the contact
+// is taken to be younger than it is, which is the safe side.
+std::optional<Duration> contactAge(const PeerContact &peer)
+{
+    if (!peer.storeContactAge)
+        return std::nullopt;
+    return *peer.storeContactAge + peer.heardAge;
+}
+
+} // namespace
+
+WorkVerdict mayTakeWork(const ContactView &view, const IsolationLimits &limits)
+{
+    const bool peersSilent
+            = std::all_of(view.peers.begin(), view.peers.end(), [&](const PeerContact &peer) {
+                  return peer.heardAge >= limits.isolatedAfter;
+              });
+    const bool knewPeer = view.everKnewPeer || !view.peers.empty();
+    return knewPeer && peersSilent && isOlder(view.storeContactAge, limits.isolatedAfter)
+            ? WorkVerdict::Isolated
+            : WorkVerdict::Allowed;
+}
+
+GrantVerdict mayGrant(std::optional<Duration> renewalAge, const ContactView &view,
+                      const IsolationLimits &limits)
+{
+    if (!renewalAge)
+        return GrantVerdict::NeverRenewed;
+    if (*renewalAge < limits.leaseTtl - limits.leaseMargin)
+        return GrantVerdict::LeaseHeld;
+    if (!view.everKnewPeer && view.peers.empty())
+        return GrantVerdict::StoreDown;
+    if (view.stallAge && *view.stallAge < limits.peerSilence)
+        return GrantVerdict::Stalled;
+    bool anyReachable = false;
+    bool allFresh = true;
+    for (const PeerContact &peer : view.peers) {
+        const auto age = contactAge(peer);
+        // Contact after the lease may have lapsed allows a takeover, however long ago it was. This
+        // holds for silent peers too.
+        if (age && *age < *renewalAge - limits.leaseTtl)
+            return GrantVerdict::PeerReachedStore;
+        if (peer.heardAge >= limits.peerSilence)
+            continue;
+        anyReachable = true;
+        allFresh = allFresh && peer.heardAge < limits.freshPeer;
+        if (!isOlder(age, limits.presentContact))
+            return GrantVerdict::PeerReachesStore;
+    }
+    return anyReachable && allFresh ? GrantVerdict::StoreDown : GrantVerdict::NoPeer;
+}
+
+std::optional<std::size_t> configurationPeer(const ContactView &view, const IsolationLimits &limits)
+{
+    if (!isOlder(view.storeContactAge, limits.presentContact))
+        return std::nullopt;
+    std::optional<std::size_t> best;
+    Duration youngest = limits.presentContact;
+    for (std::size_t i = 0; i < view.peers.size(); ++i) {
+        if (view.peers[i].heardAge >= limits.peerSilence)
+            continue;
+        if (const auto age = contactAge(view.peers[i]); age && *age < youngest) {
+            youngest = *age;
+            best = i;
+        }
+    }
+    return best;
+}
+
+} // namespace chestnutvane
