--- /dev/null
+++ b/chestnutvane/process/broker_role_test.cc
@@ -0,0 +1,95 @@
+#include "chestnutvane/process/broker_role.h"
+
+#include <gtest/gtest.h>
+
+namespace chestnutvane {
+namespace {
+
+constexpr HolderId self{1, 1};
+constexpr HolderId other{1, 2};
+
+class BrokerRoleTest : public testing::Test
+{
+protected:
+    BrokerRoleTest()
+    {
+        input.unit = 7;
+        input.selfIncarnation = self;
+        input.members = members;
+        input.entry = RoleEntry{3, {{}, "", 4}};
+        input.storeReachable = true;
+        input.storeReachableSince = TimePoint::min();
+        input.freeSince = now;
+        input.leaseRenewalStart = now - Milliseconds(500);
+        input.leaseEverHeld = true;
+        input.selfId = preferredBroker(7, members);
+    }
+
+    RoleAction action() const { return decideBrokerRole(input, now).action; }
+
+    TimePoint now{std::chrono::hours(1)};
+    std::vector<RoleMember> members{{"a", self, true, false}, {"b", other, true, false}};
+    RoleInput input;
+};
+
+// Guards against two takeovers with one epoch, and against a secondary that does not wait.
+TEST_F(BrokerRoleTest, FreeRoleIsTakenWithNextEpoch)
+{
+    const RoleDecision decision = decideBrokerRole(input, now);
+    EXPECT_EQ(decision.action, RoleAction::Take);
+    EXPECT_EQ(decision.expectedVersion, 3U);
+    EXPECT_EQ(decision.record.epoch, 5U);
+    input.selfId = input.selfId == "a" ? "b" : "a";
+    EXPECT_EQ(action(), RoleAction::None);
+    input.freeSince = now - secondaryWait;
+    EXPECT_EQ(action(), RoleAction::Take);
+}
+
+// Guards against an instance that takes the role while it may itself be replaced.
+TEST_F(BrokerRoleTest, RoleIsNotTakenWithoutStoreOrLease)
+{
+    input.leaseRenewalStart = now - grantLeaseAge;
+    EXPECT_EQ(action(), RoleAction::None);
+    input.leaseRenewalStart = now;
+    input.storeReachable = false;
+    EXPECT_EQ(action(), RoleAction::None);
+    input.storeReachable = true;
+    input.entry->record.incarnation = other;
+    EXPECT_EQ(action(), RoleAction::None);
+    input.holderLeaseGone = true;
+    EXPECT_EQ(action(), RoleAction::Take);
+    input.storeReachableSince = now - Milliseconds(1000); // the holder may not know yet
+    EXPECT_EQ(action(), RoleAction::None);
+}
+
+// Guards against grants after others may have taken the role.
+TEST_F(BrokerRoleTest, GrantsEndWithTheLease)
+{
+    input.entry->record = {self, input.selfId, 5};
+    EXPECT_EQ(decideBrokerRole(input, now).grantUntil, input.leaseRenewalStart + grantLeaseAge);
+    input.storeReachable = false;
+    now += std::chrono::minutes(1);
+    EXPECT_EQ(decideBrokerRole(input, now).grantUntil, now + outageGrantTime);
+    input.peerReportsStoreContact = true;
+    EXPECT_LT(decideBrokerRole(input, now).grantUntil, now);
+    input.peerReportsStoreContact = false;
+    input.isolated = true;
+    EXPECT_LT(decideBrokerRole(input, now).grantUntil, now);
+    input.isolated = false;
+    input.leaseLost = true;
+    const RoleDecision decision = decideBrokerRole(input, now);
+    EXPECT_EQ(decision.action, RoleAction::GiveUp);
+    EXPECT_EQ(decision.record, (BrokerRecord{{}, "", 5}));
+}
+
+// Guards against a record that cannot be read back, and against one that throws.
+TEST(BrokerRecordTest, ReadsBackAndRefusesGarbage)
+{
+    const BrokerRecord record{self, "bo-1", 9};
+    EXPECT_EQ(value(decodeBrokerRecord(encode(record))), record);
+    EXPECT_FALSE(isOk(decodeBrokerRecord("{\"incarnation\":3}")));
+    EXPECT_FALSE(isOk(decodeBrokerRecord("nonsense")));
+}
+
+} // namespace
+} // namespace chestnutvane
--- a/chestnutvane/process/crash_suspects.h
+++ b/chestnutvane/process/crash_suspects.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "chestnutvane/base/time.h"
@@ -75,7 +76,10 @@
         std::uint64_t fingerprint = 0;
         HolderId counter;
 
-        friend auto operator<=>(const Key &, const Key &) = default;
+        friend bool operator<(const Key &a, const Key &b)
+        {
+            return std::tie(a.fingerprint, a.counter) < std::tie(b.fingerprint, b.counter);
+        }
     };
     struct Entry
     {
--- a/chestnutvane/process/grant_types.h
+++ b/chestnutvane/process/grant_types.h
@@ -3,10 +3,10 @@
 
 #include <algorithm>
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "chestnutvane/base/enum_names.h"
 #include "chestnutvane/base/hash.h"
@@ -23,7 +23,11 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    friend auto operator<=>(const HolderId &, const HolderId &) = default;
+    friend bool operator==(const HolderId &, const HolderId &) = default;
+    friend bool operator<(const HolderId &a, const HolderId &b)
+    {
+        return std::tie(a.high, a.low) < std::tie(b.high, b.low);
+    }
 };
 
 // Identifies a target on all instances, whatever revision they have.
@@ -46,7 +50,11 @@
     std::uint64_t epoch = 0;
     std::uint64_t number = 0;
 
-    friend auto operator<=>(const GrantId &, const GrantId &) = default;
+    friend bool operator==(const GrantId &, const GrantId &) = default;
+    friend bool operator<(const GrantId &a, const GrantId &b)
+    {
+        return std::tie(a.epoch, a.number) < std::tie(b.epoch, b.number);
+    }
 };
 
 // How the use of a grant ended.
--- a/chestnutvane/process/slot_broker.h
+++ b/chestnutvane/process/slot_broker.h
@@ -127,10 +127,11 @@
     [[nodiscard]] std::uint64_t epoch() const;
 
     // Starts the rebuild after a takeover. The list must hold every incarnation that may have a
-    // grant of an earlier epoch: all with a live store lease, and all heard of within maxGrantTime
-    // plus the lease TTL. Until each has reported or is proven dead for the longest grant time,
-    // only slots are granted that a reporting holder is known to have had and given back. Must be
-    // called once, after the first setTargets() and before the first request.
+    // grant of an earlier epoch: all with a live store lease or heard of, and all whose lease
+    // lapsed less than the longest grant time ago. Until each has reported or is proven dead for
+    // the longest grant time, only slots are granted that a reporting holder is known to have had
+    // and given back. Must be called once, after the first setTargets() and before the first
+    // request.
     void startRebuild(std::span<const HolderId> holders, TimePoint now, std::uint64_t random,
                       BrokerEffects &effects);
 
--- a/chestnutvane/process/slot_broker_benchmark.cc
+++ b/chestnutvane/process/slot_broker_benchmark.cc
@@ -14,7 +14,8 @@
 
 } // namespace
 
-void *operator new(std::size_t size)
+// Not inlined: the compiler would take the pairing with free() for a mismatch.
+[[gnu::noinline]] void *operator new(std::size_t size)
 {
     allocations.fetch_add(1, std::memory_order_relaxed);
     if (void *memory = std::malloc(size == 0 ? 1 : size))
@@ -22,12 +23,12 @@
     throw std::bad_alloc();
 }
 
-void operator delete(void *memory) noexcept
+[[gnu::noinline]] void operator delete(void *memory) noexcept
 {
     std::free(memory);
 }
 
-void operator delete(void *memory, std::size_t /*size*/) noexcept
+[[gnu::noinline]] void operator delete(void *memory, std::size_t /*size*/) noexcept
 {
     std::free(memory);
 }
--- /dev/null
+++ b/chestnutvane/process/slot_broker_test.cc
@@ -0,0 +1,215 @@
+#include "chestnutvane/process/slot_broker.h"
+
+#include <gtest/gtest.h>
+
+namespace chestnutvane {
+namespace {
+
+constexpr HolderId holderA{1, 1};
+
+class SlotBrokerTest : public testing::Test
+{
+protected:
+    SlotBrokerTest()
+    {
+        broker.setAuthority(TimePoint::max());
+        setTargets({{1, 2, false, false}, {2, 2, false, false}});
+        broker.startRebuild({}, now, 0, effects);
+    }
+
+    void setTargets(const std::vector<BrokerTarget> &targets)
+    {
+        broker.setTargets(targets, now, 0, effects);
+    }
+
+    // Returns the effects of one request.
+    BrokerEffects ask(int importance = 5, SuspectVerdict verdict = SuspectVerdict::Clear,
+                      TriedTargets tried = {}, std::uint64_t fingerprint = 0)
+    {
+        GrantRequest request{.holder = holderA,
+                             .sequence = ++sequence,
+                             .importance = importance,
+                             .queueLimit = Milliseconds(25),
+                             .remaining = Milliseconds(5000),
+                             .fingerprint = fingerprint,
+                             .tried = tried};
+        BrokerEffects result;
+        broker.request(request, verdict, now, sequence, result);
+        return result;
+    }
+
+    BrokerEffects release(const BrokerEffects &granted, GrantResult result)
+    {
+        const auto &grant = std::get<GrantEffect>(granted.at(0));
+        BrokerEffects released;
+        broker.release(grant.holder, grant.id, result, Milliseconds(20), now, 0, released);
+        return released;
+    }
+
+    static TargetId targetOf(const BrokerEffects &granted)
+    {
+        return std::get<GrantEffect>(granted.at(0)).target;
+    }
+
+    static Reason reasonOf(const BrokerEffects &refused)
+    {
+        return std::get<RefusalEffect>(refused.at(0)).reason;
+    }
+
+    BrokerEffects effects;
+    TimePoint now;
+    std::uint64_t sequence = 0;
+    SlotBroker broker{2, BrokerSettings{.warmStart = true}};
+};
+
+// Guards against a less important request that keeps its place when it would wait too long, and
+// against one that waits although its estimate is above the limit.
+TEST_F(SlotBrokerTest, ImportantRequestEvictsAndLongWaitIsRefusedAtOnce)
+{
+    for (int i = 0; i < 4; ++i)
+        EXPECT_TRUE(std::holds_alternative<GrantEffect>(ask().at(0)));
+    for (int i = 0; i < 5; ++i)
+        EXPECT_TRUE(ask().empty()); // 5 ms each, 25 ms allowed
+    EXPECT_EQ(reasonOf(ask()), Reason::Overloaded);
+    BrokerEffects evicted;
+    for (int i = 0; i < 3 && evicted.empty(); ++i)
+        evicted = ask(0);
+    EXPECT_EQ(reasonOf(evicted), Reason::Overloaded);
+    EXPECT_EQ(std::get<RefusalEffect>(evicted.at(0)).sequence, 9U);
+}
+
+// Guards against a retry that returns to the target that failed it.
+TEST_F(SlotBrokerTest, RetryAvoidsTriedTargets)
+{
+    TriedTargets tried;
+    tried.add(1);
+    EXPECT_EQ(targetOf(ask(5, SuspectVerdict::Clear, tried)), 2U);
+    EXPECT_EQ(targetOf(ask(5, SuspectVerdict::Clear, tried)), 2U);
+    EXPECT_TRUE(ask(5, SuspectVerdict::Clear, tried).empty()); // waits while target 1 is free
+    EXPECT_EQ(targetOf(ask()), 1U); // and blocks nobody
+}
+
+// Guards against grants to drained, leaving or removed targets, and against a wait for none.
+TEST_F(SlotBrokerTest, DrainedAndLeavingTargetsGetNoGrants)
+{
+    setTargets({{1, 2, true, false}, {2, 2, false, false}});
+    EXPECT_EQ(targetOf(ask()), 2U);
+    broker.targetReport({.target = 2, .leaving = true}, now, 0, effects);
+    EXPECT_EQ(reasonOf(ask()), Reason::NoTarget);
+    EXPECT_EQ(broker.headroom(), 0);
+}
+
+// Guards against load on a target that refuses connections, and against one that never returns.
+TEST_F(SlotBrokerTest, ConnectFailuresLeaveOneProbeEachSecond)
+{
+    setTargets({{1, 2, false, false}});
+    for (int i = 0; i < 3; ++i)
+        release(ask(), GrantResult::ConnectFailed);
+    BrokerEffects probe = ask();
+    EXPECT_TRUE(std::get<GrantEffect>(probe.at(0)).probe);
+    EXPECT_EQ(reasonOf(ask()), Reason::NoTarget);
+    release(probe, GrantResult::ConnectFailed);
+    now += Milliseconds(900);
+    EXPECT_EQ(reasonOf(ask()), Reason::NoTarget);
+    now += Milliseconds(100);
+    probe = ask();
+    release(probe, GrantResult::Succeeded);
+    EXPECT_EQ(broker.status().effectiveSlots, 1); // cold
+    now += Milliseconds(500);
+    release(ask(), GrantResult::Succeeded);
+    EXPECT_EQ(broker.status().effectiveSlots, 2);
+}
+
+// Guards against a target that sheds load and still gets all its slots filled, and against
+// repeated halving by answers to requests that were sent before the first.
+TEST_F(SlotBrokerTest, ShedHalvesOnceAndSuccessRaises)
+{
+    setTargets({{1, 8, false, false}});
+    now += Milliseconds(1);
+    const BrokerEffects first = ask();
+    const BrokerEffects second = ask();
+    now += Milliseconds(1);
+    release(first, GrantResult::Shed);
+    release(second, GrantResult::Shed);
+    EXPECT_EQ(broker.status().effectiveSlots, 4);
+    now += Milliseconds(1000);
+    release(ask(), GrantResult::Succeeded);
+    EXPECT_EQ(broker.status().effectiveSlots, 5);
+}
+
+// Guards against a suspect that shares its target, and against one that starves.
+TEST_F(SlotBrokerTest, SuspectRunsAloneAndIsCleared)
+{
+    const BrokerEffects first = ask();
+    const BrokerEffects second = ask();
+    EXPECT_TRUE(ask(5, SuspectVerdict::Alone, {}, 77).empty()); // both targets are in use
+    EXPECT_FALSE(ask().empty()); // goes to the other target
+    BrokerEffects alone = release(first, GrantResult::Succeeded);
+    if (alone.empty())
+        alone = release(second, GrantResult::Succeeded);
+    ASSERT_FALSE(alone.empty());
+    EXPECT_TRUE(std::get<GrantEffect>(alone.at(0)).alone);
+    int granted = 0;
+    for (BrokerEffects more = ask(); !more.empty(); more = ask(), ++granted)
+        EXPECT_NE(targetOf(more), targetOf(alone));
+    EXPECT_LE(granted, 1); // then the other target is full, and the next request waits
+    const BrokerEffects done = release(alone, GrantResult::Succeeded);
+    EXPECT_EQ(std::get<ClearSuspectEffect>(done.at(0)).fingerprint, 77U);
+    EXPECT_EQ(reasonOf(ask(5, SuspectVerdict::Refused)), Reason::CrashSuspect);
+}
+
+// Guards against a crash that is charged to only one of the requests it ended, or twice.
+TEST_F(SlotBrokerTest, CrashIsChargedOnceToAllInFlight)
+{
+    setTargets({{1, 3, false, false}});
+    broker.targetReport({.target = 1, .startId = 5}, now, 0, effects);
+    now += Milliseconds(1000);
+    const BrokerEffects first = ask(5, SuspectVerdict::Clear, {}, 11);
+    const BrokerEffects second = ask(5, SuspectVerdict::Clear, {}, 12);
+    EXPECT_TRUE(release(first, GrantResult::ConnectionLost).empty());
+    now += Milliseconds(1);
+    BrokerEffects crash;
+    broker.targetReport({.target = 1, .startId = 6}, now, 0, crash);
+    ASSERT_EQ(crash.size(), 1U);
+    EXPECT_EQ(std::get<CrashEffect>(crash[0]).fingerprint, 11U);
+    crash = release(second, GrantResult::ConnectionLost); // its loss is noticed later
+    ASSERT_EQ(crash.size(), 1U);
+    EXPECT_EQ(std::get<CrashEffect>(crash[0]).fingerprint, 12U);
+    broker.targetReport({.target = 1, .startId = 6}, now, 0, effects);
+}
+
+// Guards against a new broker that waits for a dead holder with slots that are known to be free.
+TEST(SlotBrokerRebuildTest, SlotsGivenBackByReportingHolderAreGranted)
+{
+    BrokerEffects effects;
+    const TimePoint now;
+    const HolderId dead{1, 9};
+    SlotBroker broker(2, BrokerSettings{.longestGrant = Milliseconds(3000), .warmStart = true});
+    broker.setAuthority(TimePoint::max());
+    const std::vector<BrokerTarget> targets{{1, 2, false, false}};
+    broker.setTargets(targets, now, 0, effects);
+    broker.startRebuild(std::vector<HolderId>{holderA, dead}, now, 0, effects);
+    broker.holderGone(dead, now, 0, effects);
+    const GrantsHeld list{.holder = holderA,
+                          .number = 1,
+                          .epoch = 2,
+                          .held = {{{1, 4}, 1, Milliseconds(9), 1}},
+                          .waiting = {}};
+    broker.heldReport(list, now, 0, effects);
+    const GrantRequest request{.holder = holderA,
+                               .sequence = 2,
+                               .queueLimit = Milliseconds(9000),
+                               .remaining = Milliseconds(9000),
+                               .tried = {}};
+    broker.request(request, SuspectVerdict::Clear, now, 0, effects);
+    EXPECT_TRUE(effects.empty());
+    broker.release(holderA, {1, 4}, GrantResult::Succeeded, {}, now, 0, effects);
+    EXPECT_EQ(effects.size(), 1U);
+    EXPECT_EQ(broker.status().inUse, 2); // the dead holder may use the other slot
+    broker.tick(now + Milliseconds(3200), 0, effects);
+    EXPECT_EQ(broker.status().inUse, 1);
+    EXPECT_FALSE(broker.status().rebuilding);
+}
+
+} // namespace
+} // namespace chestnutvane
--- /dev/null
+++ b/chestnutvane/process/slot_policy_test.cc
@@ -0,0 +1,55 @@
+#include "chestnutvane/process/slot_policy_model.h"
+
+#include <gtest/gtest.h>
+
+namespace chestnutvane {
+namespace {
+
+// Guards against a broker whose queue or messages cost more than 15% of p99 over one queue, and
+// against any dispatch above slots.
+TEST(SlotPolicyTest, BrokerIsCloseToOneQueueAt90Percent)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        ModelSettings settings;
+        settings.seed = seed;
+        const ModelResult oneQueue = runSlotPolicy(SlotPolicy::OneQueue, settings);
+        const ModelResult broker = runSlotPolicy(SlotPolicy::Broker, settings);
+        EXPECT_LE(broker.p99Ms, 1.15 * oneQueue.p99Ms) << "seed " << seed;
+        EXPECT_EQ(broker.aboveSlots, 0U) << "seed " << seed;
+        EXPECT_EQ(broker.classes[0].refused, 0U) << "seed " << seed;
+    }
+}
+
+// Guards against a model that cannot tell policies apart.
+TEST(SlotPolicyTest, LeastReportedLoadGoesAboveSlots)
+{
+    ModelSettings settings;
+    settings.durationMs = 20000;
+    const ModelResult oneQueue = runSlotPolicy(SlotPolicy::OneQueue, settings);
+    const ModelResult naive = runSlotPolicy(SlotPolicy::LeastReported, settings);
+    EXPECT_GT(naive.p99Ms, 2 * oneQueue.p99Ms);
+    EXPECT_GT(naive.aboveSlots, naive.dispatches / 2);
+}
+
+// Guards against overload that reaches the important class, lowers goodput, or is refused only
+// after a wait.
+TEST(SlotPolicyTest, OverloadIsRefusedAtOnceAndByImportance)
+{
+    for (const std::uint64_t seed : {1, 2, 3}) {
+        ModelSettings settings = overloadSettings();
+        settings.seed = seed;
+        const ModelResult result = runSlotPolicy(SlotPolicy::Broker, settings);
+        ModelSettings calm;
+        calm.seed = seed;
+        const ModelResult oneQueue = runSlotPolicy(SlotPolicy::OneQueue, calm);
+        EXPECT_GE(result.goodput, 0.9) << "seed " << seed;
+        EXPECT_EQ(result.aboveSlots, 0U) << "seed " << seed;
+        EXPECT_EQ(result.classes[0].refused, 0U) << "seed " << seed;
+        EXPECT_LE(result.classes[0].p99Ms, 1.15 * oneQueue.p99Ms) << "seed " << seed;
+        for (const ModelClassResult &it : result.classes)
+            EXPECT_GE(it.refusedAtOnce * 10, it.refused * 9) << "seed " << seed;
+    }
+}
+
+} // namespace
+} // namespace chestnutvane
