Add the peer link: calls between instances over HTTP/2

Cause: heartbeats, grants, configuration and forwarded requests need one transport between instances that tells a call that was surely not sent from one that may have been received.

Change: peer_session carries one nghttp2 session over an Asio socket; peer_server and peer_client each run one thread on top. A request counts as sent from the moment nghttp2 starts to write its HEADERS frame, so NotSent is given only before that; a call that is still queued when it ends is dropped from the queue. No failed call is sent again. The socket is flushed from a handler of its own, because nghttp2 must not be entered from its callbacks. A silent connection is found by ticks after a PING and not by elapsed time: a paused process would otherwise close connections whose answers wait in its socket buffer. Both ends check, so a caller that vanished also cancels its calls at the server. The PING is sent only while calls are open and nothing else has come for a tick; a timer on every idle connection was ruled out, as 830 peers would cost 3,300 wake-ups a second. Interface: PeerServer gains port(), which tests and a port of 0 need.

Before this change there was no implementation. Throughput was not measured.

--- a/chestnutvane/connection/peer_link.h
+++ b/chestnutvane/connection/peer_link.h
@@ -8,6 +8,9 @@
 //   value(client)->call("127.0.0.1:8082", "heartbeat", body, Milliseconds{500},
 //           [](Result<std::string, PeerError> reply) { ... });
 //
+// A connection on which calls are open and nothing comes, not even the answer to a PING for 1 s, is
+// closed; its calls end with ConnectionLost and the next call makes a new connection.
+//
 // Both classes are thread-safe. Callbacks and handlers run on threads of this module, and must not
 // block.
 #pragma once
@@ -27,9 +30,9 @@
 enum class PeerFailure {
     NotSent, // no connection could be made; the peer cannot have received the call
     Refused, // the peer answered that it does not handle the call
-    ConnectionLost, // the peer may have received the call
+    ConnectionLost, // the peer may have received the call; also a reply above 20 MiB
     Timeout, // the peer may have received the call
-    Cancelled,
+    Cancelled, // by this side, by the peer, or because the client is being destroyed
 };
 
 inline constexpr EnumName<PeerFailure> peerFailureNames[] = {
@@ -64,7 +67,8 @@
     std::shared_ptr<PeerCallState> state;
 };
 
-// Ends a call. Call exactly once, from any thread. A call refused is answered with Refused.
+// Ends a call. Call exactly once, from any thread. Of errors, Cancelled resets the stream, so that
+// the caller gets Cancelled; every other error reaches the caller as Refused with its detail.
 using PeerResponder = std::function<void(Result<std::string, PeerError>)>;
 using PeerHandler = std::function<void(PeerCall, PeerResponder)>;
 
@@ -92,6 +96,9 @@
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
 
+    // The port that the server listens on, also when the options left the choice to the system.
+    [[nodiscard]] std::uint16_t port() const;
+
 private:
     struct Impl;
     explicit PeerServer(std::unique_ptr<Impl> impl);
@@ -112,7 +119,8 @@
     PeerClient(const PeerClient &) = delete;
     PeerClient &operator=(const PeerClient &) = delete;
 
-    // Sends a call to the peer at "IP:port". Never sends a call twice.
+    // Sends a call to the peer at "IP:port" ("[IP]:port" for IPv6). Never sends a call twice. The
+    // timeout covers the connect too; a call that was not sent by then ends with NotSent.
     CallId call(const std::string &address, std::string name, std::string body,
                 Milliseconds timeout, Callback callback);
 
