Keep a table of members from heartbeats

Cause: look-ups must list live instances only, and 830 instances cannot all exchange heartbeats in each period.

Change: a heartbeat goes to all members of the own zone and to 9 others in rotation, with at most 4 relayed records. A restarted process whose clock is behind learns the remembered generation from a peer and raises its own; order by clock alone was ruled out.

--- a/chestnutvane/process/membership.h
+++ b/chestnutvane/process/membership.h
@@ -166,9 +166,10 @@
     Milliseconds goneAfter{10000};
     // How long a gone member is remembered, so that a late record does not bring it back.
     Milliseconds forgetAfter{60000};
-    std::size_t otherZonePeers = 6; // members of other zones that get a heartbeat in a period
-    std::size_t maxRelayed = 8; // records relayed in one heartbeat
-    std::size_t maxKnownAddresses = 16; // addresses passed on in one heartbeat
+    // Members of other zones that get a heartbeat in a period: everybody with 10 instances.
+    std::size_t otherZonePeers = 9;
+    std::size_t maxRelayed = 4; // records relayed in one heartbeat
+    std::size_t maxKnownAddresses = 2; // addresses passed on in one heartbeat
     std::size_t maxUnheardPerPeriod = 4; // addresses without a known member contacted in a period
 };
 
@@ -234,7 +235,9 @@
     // Call once in each period; forgets members that have been gone for long.
     std::vector<HeartbeatTarget> heartbeatTargets(TimePoint now);
 
-    // The heartbeat for a target: the own record, relayed records in rotation, known addresses.
+    // The heartbeat for a target: the own record, known addresses, and in rotation records of
+    // members that were heard directly and are of another zone than the target. Nothing is relayed
+    // while every member gets a heartbeat from every other in each period.
     Heartbeat makeHeartbeat(const HeartbeatTarget &target, TimePoint now);
 
 private:
@@ -244,9 +247,11 @@
         TimePoint heardAt;
         bool direct = false;
         bool markedGone = false;
+        bool hasRival = false; // another process sent a record of this id with a lower generation
     };
 
     MemberStatus statusAt(const Known &known, TimePoint now) const;
+    void learn(const std::string &address);
     bool accept(const MemberRecord &record, TimePoint heardAt, bool direct, ReceiveResult &result);
 
     MemberRecord self_;
