Measure headroom, link use and drains

Cause: overflow, moves and drains decide on these measurements.

Change: a report shrinks to no headroom over 5 s and counts for nothing while own requests are refused; the share of callers to send away comes from queued and refused requests. Link use is a decaying sum of forwarded bytes. A drain time runs from the start of the drain, not from a later revision that repeats it.

--- /dev/null
+++ b/chestnutvane/process/drain_state.cc
@@ -0,0 +1,100 @@
+#include "chestnutvane/process/drain_state.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace chestnutvane {
+
+void DrainState::setRules(const RuleSet &rules, TimePoint now)
+{
+    std::set<std::string> drainedTargets;
+    std::set<std::string> drainedZones;
+    drainedRegions_.clear();
+    for (const DrainRule &drain : rules.drains) {
+        auto &names = drain.kind == DrainKind::Target ? drainedTargets
+                : drain.kind == DrainKind::Zone       ? drainedZones
+                                                      : drainedRegions_;
+        names.insert(drain.subject);
+    }
+    for (const RegionRule &region : rules.regions) {
+        if (!region.zones.empty()
+            && std::all_of(region.zones.begin(), region.zones.end(),
+                           [&](const std::string &zone) { return drainedZones.contains(zone); }))
+            drainedRegions_.insert(region.name);
+        if (drainedRegions_.contains(region.name))
+            drainedZones.insert(region.zones.begin(), region.zones.end());
+    }
+
+    std::set<std::string> names;
+    for (const TargetRule &target : rules.targets) {
+        names.insert(target.name);
+        Target &state = targets_[target.name];
+        state.byRule = drainedTargets.contains(target.name) || drainedZones.contains(target.zone);
+        updateStart(state, now);
+    }
+    // A target that left the rules is kept, drained, until its work has ended.
+    for (auto entry = targets_.begin(); entry != targets_.end();) {
+        auto &[name, state] = *entry;
+        const bool isInRules = names.contains(name);
+        if (!isInRules) {
+            state.byRule = true;
+            updateStart(state, now);
+        }
+        entry = isInRules || state.inFlight > 0 ? std::next(entry) : targets_.erase(entry);
+    }
+}
+
+void DrainState::reportLeaving(const std::string &target, bool isLeaving, TimePoint now)
+{
+    Target &state = targets_[target];
+    state.byReport = isLeaving;
+    updateStart(state, now);
+}
+
+void DrainState::workStarted(const std::string &target, TimePoint)
+{
+    ++targets_[target].inFlight;
+}
+
+void DrainState::workEnded(const std::string &target, TimePoint now)
+{
+    Target &state = targets_[target];
+    if (state.inFlight > 0)
+        --state.inFlight;
+    state.lastEnd = std::max(state.lastEnd, now);
+}
+
+bool DrainState::isDrained(const std::string &target) const
+{
+    const auto found = targets_.find(target);
+    return found != targets_.end() && found->second.drainedSince;
+}
+
+bool DrainState::isRegionDrained(const std::string &region) const
+{
+    return drainedRegions_.contains(region);
+}
+
+std::optional<Duration> DrainState::drainTime(const std::string &target) const
+{
+    const auto found = targets_.find(target);
+    if (found == targets_.end() || !found->second.drainedSince || found->second.inFlight > 0)
+        return std::nullopt;
+    return std::max(Duration{0}, found->second.lastEnd - *found->second.drainedSince);
+}
+
+std::size_t DrainState::workInFlight(const std::string &target) const
+{
+    const auto found = targets_.find(target);
+    return found == targets_.end() ? 0 : found->second.inFlight;
+}
+
+void DrainState::updateStart(Target &target, TimePoint now)
+{
+    if (!target.byRule && !target.byReport)
+        target.drainedSince.reset();
+    else if (!target.drainedSince)
+        target.drainedSince = now;
+}
+
+} // namespace chestnutvane
--- /dev/null
+++ b/chestnutvane/process/headroom.cc
@@ -0,0 +1,135 @@
+#include "chestnutvane/process/headroom.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace chestnutvane {
+
+namespace {
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+void DecayingSum::add(double amount, TimePoint now)
+{
+    sum_ = sum(now) + amount;
+    updatedAt_ = std::max(updatedAt_, now);
+}
+
+double DecayingSum::sum(TimePoint now) const
+{
+    if (sum_ == 0 || now <= updatedAt_)
+        return sum_;
+    return sum_ * std::exp(-seconds(now - updatedAt_) / seconds(timeConstant_));
+}
+
+double DecayingSum::perSecond(TimePoint now) const
+{
+    return sum(now) / seconds(timeConstant_);
+}
+
+HeadroomTable::Unit &HeadroomTable::unit(const std::string &service, const std::string &region)
+{
+    return units_
+            .try_emplace({service, region},
+                         Unit{false,
+                              {},
+                              {},
+                              DecayingSum(options_.outcomeWindow),
+                              DecayingSum(options_.outcomeWindow)})
+            .first->second;
+}
+
+const HeadroomTable::Unit *HeadroomTable::findUnit(const std::string &service,
+                                                   const std::string &region) const
+{
+    const auto found = units_.find({service, region});
+    return found == units_.end() ? nullptr : &found->second;
+}
+
+void HeadroomTable::report(const std::string &service, const std::string &region,
+                           const HeadroomReport &report, TimePoint madeAt)
+{
+    Unit &unit = this->unit(service, region);
+    if (unit.hasReport
+        && std::tie(report.epoch, madeAt) <= std::tie(unit.report.epoch, unit.madeAt))
+        return;
+    unit.hasReport = true;
+    unit.report = report;
+    unit.madeAt = madeAt;
+}
+
+void HeadroomTable::ownOutcome(const std::string &service, const std::string &region,
+                               OwnOutcome outcome, TimePoint now)
+{
+    Unit &unit = this->unit(service, region);
+    (outcome == OwnOutcome::Refused ? unit.refused : unit.served).add(1, now);
+}
+
+double HeadroomTable::freshness(const Unit &unit, TimePoint now) const
+{
+    if (!unit.hasReport)
+        return 0;
+    return std::clamp(1 - seconds(now - unit.madeAt) / seconds(options_.reportLife), 0.0, 1.0);
+}
+
+double HeadroomTable::refusedShare(const Unit &unit, TimePoint now) const
+{
+    const double refused = unit.refused.sum(now);
+    const double all = refused + unit.served.sum(now);
+    return all < options_.minOutcomes ? 0 : refused / all;
+}
+
+double HeadroomTable::headroom(const std::string &service, const std::string &region,
+                               TimePoint now) const
+{
+    const Unit *unit = findUnit(service, region);
+    if (!unit || unit->report.totalSlots == 0 || unit->report.queued > 0
+        || refusedShare(*unit, now) > options_.contradictingRefusals)
+        return 0;
+    const double total = unit->report.totalSlots;
+    const double free = std::min<double>(unit->report.freeSlots, total) / total;
+    return std::max(0.0, free - (1 - options_.regionCap)) * freshness(*unit, now);
+}
+
+double HeadroomTable::overflowShare(const std::string &service, const std::string &region,
+                                    TimePoint now) const
+{
+    const Unit *unit = findUnit(service, region);
+    if (!unit)
+        return 0;
+    const HeadroomReport &report = unit->report;
+    const double waiting = report.queued;
+    // The demand is what runs and what waits; the slots under the cap carry their part of it.
+    const double demand
+            = report.totalSlots - std::min(report.freeSlots, report.totalSlots) + waiting;
+    const double carried = report.totalSlots * options_.regionCap;
+    const double queuedShare
+            = demand > carried ? (1 - carried / demand) * freshness(*unit, now) : 0;
+    const double refused = refusedShare(*unit, now);
+    return std::max(queuedShare, refused > options_.contradictingRefusals ? refused : 0);
+}
+
+void LinkUseTable::add(const std::string &from, const std::string &to, double bytes, TimePoint now)
+{
+    links_.try_emplace({from, to}, timeConstant_).first->second.add(bytes, now);
+}
+
+double LinkUseTable::mbps(const std::string &from, const std::string &to, TimePoint now) const
+{
+    const auto found = links_.find({from, to});
+    return found == links_.end() ? 0 : found->second.perSecond(now) * 8 / 1e6;
+}
+
+bool LinkUseTable::fits(const std::string &from, const std::string &to, double addedMbps,
+                        double capacityMbps, double capShare, TimePoint now) const
+{
+    return mbps(from, to, now) + addedMbps <= capacityMbps * capShare;
+}
+
+} // namespace chestnutvane
--- /dev/null
+++ b/chestnutvane/process/headroom_test.cc
@@ -0,0 +1,82 @@
+#include "chestnutvane/process/headroom.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cmath>
+#include <vector>
+
+namespace chestnutvane {
+namespace {
+
+const TimePoint start{std::chrono::hours{1}};
+
+// Guards against silence that is read as idle.
+TEST(HeadroomTest, ReportShrinksToNothing)
+{
+    HeadroomTable table;
+    EXPECT_EQ(table.headroom("s", "r", start), 0);
+    table.report("s", "r", {1, 24, 48, 0}, start);
+    EXPECT_DOUBLE_EQ(table.headroom("s", "r", start), 0.5);
+    EXPECT_DOUBLE_EQ(table.headroom("s", "r", start + Milliseconds{2500}), 0.25);
+    EXPECT_EQ(table.headroom("s", "r", start + Milliseconds{5000}), 0);
+    table.report("s", "r", {0, 48, 48, 0}, start + Milliseconds{100}); // of a former broker
+    EXPECT_DOUBLE_EQ(table.headroom("s", "r", start), 0.5);
+}
+
+// Guards against a misleading report that outweighs refusals seen by the instance itself.
+TEST(HeadroomTest, OwnRefusalsOutweighAReport)
+{
+    HeadroomTable table;
+    table.report("s", "r", {1, 48, 48, 0}, start);
+    for (int i = 0; i < 9; ++i)
+        table.ownOutcome("s", "r", OwnOutcome::Served, start);
+    EXPECT_GT(table.headroom("s", "r", start), 0);
+    table.ownOutcome("s", "r", OwnOutcome::Refused, start);
+    EXPECT_EQ(table.headroom("s", "r", start), 0);
+    EXPECT_DOUBLE_EQ(table.overflowShare("s", "r", start), 0.1);
+}
+
+// Guards against headroom above the slots or outside the cap, and against a unit that both offers
+// headroom and sends callers away.
+RC_GTEST_PROP(HeadroomTest, NeverOffersMoreThanIsFreeUnderTheCap, ())
+{
+    HeadroomOptions options;
+    options.regionCap = *rc::gen::inRange(0, 101) / 100.0;
+    HeadroomTable table(options);
+    const HeadroomReport report{1, *rc::gen::inRange(0U, 60U), *rc::gen::inRange(0U, 50U),
+                                *rc::gen::inRange(0U, 3U)};
+    table.report("s", "r", report, start);
+    const TimePoint now = start + Milliseconds{*rc::gen::inRange(0, 6000)};
+    const double headroom = table.headroom("s", "r", now);
+    const double overflow = table.overflowShare("s", "r", now);
+    const double used = report.totalSlots * 1.0 - std::min(report.freeSlots, report.totalSlots);
+    RC_ASSERT(headroom >= 0 && overflow >= 0 && overflow <= 1);
+    RC_ASSERT(used + headroom * report.totalSlots
+              <= std::max(used, report.totalSlots * options.regionCap) + 1e-9);
+    RC_ASSERT(headroom < 1e-9 || overflow < 1e-9);
+}
+
+// Guards against a decayed sum that differs from the sum of each decayed amount.
+RC_GTEST_PROP(HeadroomTest, LinkUseAgreesWithSumOverAllTransfers, ())
+{
+    LinkUseTable table;
+    std::vector<std::pair<TimePoint, double>> transfers;
+    TimePoint now = start;
+    for (const int gap : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000))) {
+        now += Milliseconds{gap};
+        transfers.emplace_back(now, gap * 1000.0);
+        table.add("a", "b", gap * 1000.0, now);
+    }
+    double expected = 0;
+    for (const auto &[at, bytes] : transfers)
+        expected += bytes * std::exp(-std::chrono::duration<double>(now - at).count() / 2) / 2;
+    expected *= 8e-6;
+    RC_ASSERT(std::abs(table.mbps("a", "b", now) - expected) <= 1e-9 * (1 + expected));
+    RC_ASSERT(table.mbps("b", "a", now) == 0);
+    RC_ASSERT(table.fits("a", "b", 1, (expected + 1) * 1.25 + 1e-6, 0.8, now));
+    RC_ASSERT(!table.fits("a", "b", 1, expected + 0.9, 1, now));
+}
+
+} // namespace
+} // namespace chestnutvane
