--- a/chestnutvane/connection/peer_client.cc
+++ b/chestnutvane/connection/peer_client.cc
@@ -169,8 +169,8 @@
         connection.socket->close(ignored);
         return connectionEnded(id, "cannot connect: " + reason.message());
     }
-    connection.session = PeerSession::create(std::move(*connection.socket), PeerRole::Client, 0,
-                                             makeEvents(id));
+    connection.session =
+            PeerSession::create(std::move(*connection.socket), PeerRole::Client, 0, makeEvents(id));
     connection.socket.reset();
     for (const CallId callId : std::exchange(connection.waiting, {})) {
         const auto call = calls.find(callId); // absent if it was cancelled meanwhile
@@ -271,8 +271,8 @@
     const auto found = calls.find(id);
     if (found == calls.end())
         return;
-    const bool aboutTransport
-            = failure == PeerFailure::ConnectionLost || failure == PeerFailure::Timeout;
+    const bool aboutTransport =
+            failure == PeerFailure::ConnectionLost || failure == PeerFailure::Timeout;
     if (aboutTransport && !found->second.sent)
         failure = PeerFailure::NotSent;
     finish(id, PeerError{failure, detail});
--- a/chestnutvane/connection/peer_link_test.cc
+++ b/chestnutvane/connection/peer_link_test.cc
@@ -75,9 +75,9 @@
                             Milliseconds timeout = patience, PeerClient::CallId *id = nullptr)
     {
         auto promise = std::make_shared<std::promise<Reply>>();
-        const auto callId
-                = client_->call(address, std::move(name), std::move(body), timeout,
-                                [promise](Reply reply) { promise->set_value(std::move(reply)); });
+        const auto callId =
+                client_->call(address, std::move(name), std::move(body), timeout,
+                              [promise](Reply reply) { promise->set_value(std::move(reply)); });
         if (id != nullptr)
             *id = callId;
         return promise->get_future();
--- a/chestnutvane/connection/peer_server.cc
+++ b/chestnutvane/connection/peer_server.cc
@@ -156,8 +156,9 @@
         PeerSessionEvents events;
         events.hasOpenCalls = [&connection] { return !connection.calls.empty(); };
         events.requestSent = [](std::int32_t) {};
-        events.streamOpened
-                = [&connection](std::int32_t stream) { connection.calls.try_emplace(stream); };
+        events.streamOpened = [&connection](std::int32_t stream) {
+            connection.calls.try_emplace(stream);
+        };
         events.header = [this, &connection](std::int32_t stream, std::string_view name,
                                             std::string_view value) {
             addHeader(connection, stream, name, value);
--- a/chestnutvane/connection/peer_session.cc
+++ b/chestnutvane/connection/peer_session.cc
@@ -170,9 +170,9 @@
              headerField(":authority", "peer"), headerField(":path", path),
              headerField("content-length", length)}};
     const auto provider = Callbacks::provider(*this);
-    const std::int32_t stream
-            = nghttp2_submit_request(session_, nullptr, headers.data(), headers.size(),
-                                     body.empty() ? nullptr : &provider, nullptr);
+    const std::int32_t stream =
+            nghttp2_submit_request(session_, nullptr, headers.data(), headers.size(),
+                                   body.empty() ? nullptr : &provider, nullptr);
     if (stream >= 0) {
         if (!body.empty())
             uploads_[stream] = {std::move(body)};
@@ -231,8 +231,8 @@
                 if (failure)
                     return self->close("connection ended: " + failure.message());
                 self->heard_ = true;
-                const auto used
-                        = nghttp2_session_mem_recv(self->session_, self->readBuffer_.data(), count);
+                const auto used =
+                        nghttp2_session_mem_recv(self->session_, self->readBuffer_.data(), count);
                 if (used < 0)
                     return self->close(std::string("HTTP/2 error: ")
                                        + nghttp2_strerror(static_cast<int>(used)));
--- a/chestnutvane/connection/socket_address.cc
+++ b/chestnutvane/connection/socket_address.cc
@@ -15,8 +15,8 @@
     if (host.starts_with('[') && host.ends_with(']'))
         host = host.substr(1, host.size() - 2);
     std::uint16_t port = 0;
-    const auto [end, failure]
-            = std::from_chars(portText.data(), portText.data() + portText.size(), port);
+    const auto [end, failure] =
+            std::from_chars(portText.data(), portText.data() + portText.size(), port);
     std::error_code badHost;
     const auto ip = asio::ip::make_address(std::string(host), badHost);
     if (badHost || failure != std::errc() || end != portText.data() + portText.size() || port == 0)
--- /dev/null
+++ b/chestnutvane/process/broker_service.h
@@ -0,0 +1,132 @@
+// The broker roles of this instance: takes and gives up roles through the store, runs the broker of
+// each unit, and answers the peer messages about grants.
+//
+// Example:
+//
+//   BrokerService brokers(instance);
+//   brokers.start();
+//   brokers.request(message, [](GrantAnswer answer) { ... });
+//
+// Thread-safe.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chestnutvane/process/broker_role.h"
+#include "chestnutvane/process/crash_suspects.h"
+#include "chestnutvane/process/instance.h"
+#include "chestnutvane/process/slot_broker.h"
+
+namespace chestnutvane {
+
+class BrokerService
+{
+public:
+    using AnswerCallback = std::function<void(GrantAnswer)>;
+
+    explicit BrokerService(Instance &instance);
+
+    // Starts the watches and timers.
+    void start();
+
+    // Handles a grant request, of this instance or of a peer. The callback is called once; the
+    // answer is BrokerUnreachable if this instance is not the broker of the unit.
+    void request(const GrantRequestMessage &message, AnswerCallback callback);
+
+    // Forgets a queued request. Its callback is dropped.
+    void cancel(UnitId unit, const HolderId &holder, std::uint64_t sequence);
+
+    void release(const GrantRelease &message);
+    void heldReport(const GrantsHeld &report);
+
+    // The instance at which a unit's broker was last seen; nothing if there is none.
+    struct Location
+    {
+        bool local = false;
+        std::string peerAddress;
+    };
+    std::optional<Location> locate(const std::string &service, const std::string &region);
+
+    // The units whose broker runs here, for the heartbeat.
+    std::vector<HeldUnit> heldUnits();
+    std::vector<UnitHeadroom> headroom();
+    std::vector<CrashCount> crashCounts();
+    void mergeCrashCounts(const std::vector<CrashCount> &counts);
+
+    // Gives up all roles and calls back when each was written or the store did not answer.
+    void giveUpAll(std::function<void()> done);
+
+    // Units with their status, for operators.
+    struct UnitReport
+    {
+        std::string service;
+        std::string region;
+        std::uint64_t epoch = 0;
+        BrokerStatus status;
+        double headroom = 0;
+    };
+    std::vector<UnitReport> reports();
+
+private:
+    struct Unit
+    {
+        std::string service;
+        std::string region;
+        std::optional<RoleEntry> entry; // as last read from the store
+        std::optional<TimePoint> freeSince;
+        bool writing = false; // a compare-and-swap is on its way
+        std::optional<SlotBroker> broker;
+        bool rebuilding = false;
+        std::uint64_t targetsRevision = 0; // revision whose targets the broker has
+        std::map<std::pair<HolderId, std::uint64_t>, AnswerCallback> waiting;
+        std::map<TargetId, std::pair<std::uint64_t, bool>> reported; // start id, leaving
+    };
+    struct State
+    {
+        State(const HolderId &self) : suspects(self, "") { }
+
+        std::map<UnitId, Unit> units;
+        std::set<std::string> leasedIncarnations;
+        bool leasesKnown = false;
+        bool rolesKnown = false;
+        std::map<std::string, RoleEntry> entries; // by store key
+        CrashSuspects suspects;
+        std::string suspectsRegion;
+    };
+    // Answers to be given after the lock is released.
+    using Answers = std::vector<std::pair<AnswerCallback, GrantAnswer>>;
+
+    void watchRoles(std::uint64_t afterVersion);
+    void watchLeases(std::uint64_t afterVersion);
+    void decideRoles();
+    void decideRole(State &state, Unit &unit, RoleInput input, TimePoint now, Answers &answers,
+                    std::vector<CompareAndSwap> &writes);
+    void writeRole(CompareAndSwap write);
+    void openBroker(State &state, Unit &unit, const RoleDecision &decision,
+                    std::span<const RoleMember> members, TimePoint now, Answers &answers);
+    static void closeBroker(Unit &unit, Answers &answers);
+    void refreshTargets(State &state, Unit &unit, const Version &version, TimePoint now,
+                        Answers &answers);
+    static void applyEffects(State &state, Unit &unit, const BrokerEffects &effects, TimePoint now,
+                             Answers &answers);
+    // Calls a broker under the lock and gives the answers after it.
+    template <class Call>
+    void withBroker(UnitId id, Call call);
+    void askForReports();
+    void tick();
+    void probeTargets();
+    void probeTarget(UnitId unit, const TargetRule &target);
+    void onProbe(UnitId unit, TargetId target, const Result<HttpResponse, HttpError> &result);
+    static void give(Answers &answers);
+
+    Instance &instance_;
+    Guarded<State, LockRank::Broker> state_;
+};
+
+} // namespace chestnutvane
--- a/chestnutvane/process/config_head.cc
+++ b/chestnutvane/process/config_head.cc
@@ -93,8 +93,9 @@
     if (head.revision == baseRevision)
         return ChangeState::Open;
     // The write expects the base, so it could have become only the revision after it.
-    const auto tookPlace
-            = [&](const ConfigChange &change) { return change.revision == baseRevision + 1; };
+    const auto tookPlace = [&](const ConfigChange &change) {
+        return change.revision == baseRevision + 1;
+    };
     return std::any_of(head.history.begin(), head.history.end(), tookPlace)
             ? ChangeState::Superseded
             : ChangeState::Forgotten;
--- a/chestnutvane/process/crash_suspects.cc
+++ b/chestnutvane/process/crash_suspects.cc
@@ -55,8 +55,8 @@
         Entry &entry = found->second;
         if (count.counter != self_ && count.crashes > entry.crashes) {
             entry.crashes = count.crashes;
-            entry.lastCrash
-                    = std::max(entry.lastCrash, now - std::max(count.age, Duration::zero()));
+            entry.lastCrash =
+                    std::max(entry.lastCrash, now - std::max(count.age, Duration::zero()));
         }
         entry.cleared = std::min(entry.crashes, std::max(entry.cleared, count.cleared));
     }
--- /dev/null
+++ b/chestnutvane/process/daemon.cc
@@ -0,0 +1,226 @@
+#include "chestnutvane/process/daemon.h"
+
+#include <future>
+#include <thread>
+
+#include "chestnutvane/process/broker_service.h"
+#include "chestnutvane/process/caller_service.h"
+#include "chestnutvane/process/config_service.h"
+#include "chestnutvane/process/grant_service.h"
+#include "chestnutvane/process/http_store.h"
+#include "chestnutvane/process/instance.h"
+#include "chestnutvane/process/log.h"
+#include "chestnutvane/process/look_up_service.h"
+#include "chestnutvane/process/member_service.h"
+#include "chestnutvane/process/operator_service.h"
+
+namespace chestnutvane {
+namespace internal {
+namespace {
+
+constexpr Milliseconds lookUpMargin{1000}; // for look-ups answered just before the peers heard
+constexpr Milliseconds drainPoll{20};
+constexpr Milliseconds longestDrain{120'000};
+constexpr Milliseconds storeGrace{2000}; // for the last writes, if the store does not answer
+constexpr int serverThreads = 2;
+
+std::string endpoint(const std::string &address, std::uint16_t port)
+{
+    const bool v6 = address.find(':') != std::string::npos;
+    return (v6 ? "[" + address + "]" : address) + ":" + std::to_string(port);
+}
+
+MemberRecord ownRecord(const Settings &settings, const std::string &incarnation)
+{
+    MemberRecord record;
+    record.id = settings.instanceId;
+    record.incarnation = incarnation;
+    record.generation =
+            static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(
+                                               std::chrono::system_clock::now().time_since_epoch())
+                                               .count());
+    record.zone = settings.zone;
+    record.callerAddress = endpoint(settings.address, settings.callerPort);
+    record.operatorAddress = endpoint(settings.address, settings.operatorPort);
+    record.peerAddress = endpoint(settings.address, settings.peerPort);
+    return record;
+}
+
+} // namespace
+} // namespace internal
+
+struct Daemon::Impl
+{
+    Impl(const Settings &settings, const std::string &incarnation)
+        : instance(settings, incarnation, holderIdOf(incarnation),
+                   internal::ownRecord(settings, incarnation))
+    { }
+
+    Instance instance;
+    BrokerService brokers{instance};
+    GrantService grants{instance, brokers};
+    MemberService members{instance, brokers, grants};
+    ConfigService configuration{instance};
+    LookUpService lookUps{instance, brokers};
+    CallerService callers{instance, lookUps, grants, members};
+    OperatorService operators{instance, brokers, configuration, lookUps, callers};
+    std::unique_ptr<HttpServer> callerServer;
+    std::unique_ptr<HttpServer> operatorServer;
+    std::unique_ptr<PeerServer> peerServer;
+
+    ~Impl()
+    {
+        // Listeners first, then the clients, whose callbacks post to the workers, then the workers.
+        callerServer.reset();
+        operatorServer.reset();
+        peerServer.reset();
+        instance.workers->stop();
+        instance.targets.reset();
+        instance.storeClient.reset();
+        instance.peers.reset();
+    }
+
+    void handlePeer(PeerCall call, const PeerResponder &respond);
+    void handleGrantRequest(const PeerCall &call, const PeerResponder &respond);
+};
+
+void Daemon::Impl::handleGrantRequest(const PeerCall &call, const PeerResponder &respond)
+{
+    const auto message = decodeGrantRequest(call.body);
+    if (!isOk(message)) {
+        respond(PeerError{PeerFailure::Refused, error(message).field});
+        return;
+    }
+    const auto &wish = value(message);
+    brokers.request(wish, [respond](const GrantAnswer &answer) { respond(encode(answer)); });
+    call.state->onCancelled([this, unit = wish.unit, holder = wish.request.holder,
+                             sequence = wish.request.sequence] {
+        instance.workers->post(
+                [this, unit, holder, sequence] { brokers.cancel(unit, holder, sequence); });
+    });
+}
+
+void Daemon::Impl::handlePeer(PeerCall call, const PeerResponder &respond)
+{
+    if (call.name == "heartbeat") {
+        respond(members.onHeartbeat(call.body));
+    } else if (call.name == "grant-request") {
+        handleGrantRequest(call, respond);
+    } else if (call.name == "grant-release") {
+        if (const auto message = decodeGrantRelease(call.body); isOk(message))
+            brokers.release(value(message));
+        respond(std::string());
+    } else if (call.name == "grants-held") {
+        if (const auto message = decodeGrantsHeld(call.body); isOk(message))
+            brokers.heldReport(value(message));
+        respond(std::string());
+    } else if (call.name == "grants-rebuild") {
+        const auto message = decodeRebuildRequest(call.body);
+        if (!isOk(message)) {
+            respond(PeerError{PeerFailure::Refused, error(message).field});
+            return;
+        }
+        respond(encode(instance.grants.use([&](GrantHolder &holder) {
+            return holder.answerRebuild(value(message), Clock::now());
+        })));
+    } else if (call.name == "config-get") {
+        respond(configuration.heldHead());
+    } else if (call.name == "forward") {
+        callers.handleForward(call.body,
+                              [respond](std::string answer) { respond(std::move(answer)); });
+    } else {
+        respond(PeerError{PeerFailure::Refused, "unknown message"});
+    }
+}
+
+Daemon::Daemon(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) { }
+
+Daemon::~Daemon() = default;
+
+Result<std::unique_ptr<Daemon>, StartError> Daemon::create(const Settings &settings)
+{
+    const auto incarnation = formatIncarnation(randomNumber(), randomNumber());
+    auto impl = std::make_unique<Impl>(settings, incarnation);
+    auto &instance = impl->instance;
+    instance.workers = std::make_unique<Workers>(settings.workers);
+    auto targets = HttpClient::create({});
+    auto storeClient = HttpClient::create({});
+    if (!isOk(targets) || !isOk(storeClient))
+        return StartError{StartFailure::HttpClient, "libcurl cannot be set up"};
+    instance.targets = std::move(value(targets));
+    instance.storeClient = std::move(value(storeClient));
+    auto peers = PeerClient::create();
+    if (!isOk(peers))
+        return StartError{StartFailure::PeerClient, error(peers).detail};
+    instance.peers = std::move(value(peers));
+    instance.store = makeHttpStore({.baseUrl = settings.storeUrl}, *instance.storeClient,
+                                   instance.storeCounters);
+
+    auto *raw = impl.get();
+    auto peerServer =
+            PeerServer::create({.address = settings.address, .port = settings.peerPort},
+                               [raw](PeerCall call, PeerResponder respond) {
+                                   // Off the link's thread, because a broker may hold its lock.
+                                   raw->instance.workers->post([raw, call = std::move(call),
+                                                                respond = std::move(respond)] {
+                                       raw->handlePeer(call, respond);
+                                   });
+                               });
+    if (!isOk(peerServer))
+        return StartError{StartFailure::PeerListener, error(peerServer).detail};
+    impl->peerServer = std::move(value(peerServer));
+    auto operatorServer = HttpServer::create(
+            {.address = settings.address, .port = settings.operatorPort, .threads = 1},
+            [raw](ServerRequest request, Responder respond) {
+                raw->operators.handle(std::move(request), std::move(respond));
+            });
+    if (!isOk(operatorServer))
+        return StartError{StartFailure::OperatorListener, error(operatorServer).detail};
+    impl->operatorServer = std::move(value(operatorServer));
+    impl->members.onHigherRevision([raw](std::uint64_t) { raw->configuration.fetchFromPeers(); });
+    impl->configuration.start();
+    impl->brokers.start();
+    impl->members.start();
+    impl->lookUps.start();
+    auto callerServer =
+            HttpServer::create({.address = settings.address,
+                                .port = settings.callerPort,
+                                .threads = internal::serverThreads,
+                                .maxBodyBytes = settings.maxBodyBytes,
+                                .maxConnections = settings.maxConnections},
+                               [raw](ServerRequest request, Responder respond) {
+                                   raw->callers.handle(std::move(request), std::move(respond));
+                               });
+    if (!isOk(callerServer))
+        return StartError{StartFailure::CallerListener, error(callerServer).detail};
+    impl->callerServer = std::move(value(callerServer));
+    logEvent(
+            Event::Started,
+            {{"zone", settings.zone}, {"address", settings.address}, {"incarnation", incarnation}});
+    return std::unique_ptr<Daemon>(new Daemon(std::move(impl)));
+}
+
+void Daemon::shutDown()
+{
+    auto &instance = impl_->instance;
+    logEvent(Event::Stopping, {});
+    impl_->members.beginLeaving();
+    std::this_thread::sleep_for(instance.settings.lookUpTtl + internal::lookUpMargin);
+
+    std::promise<void> rolesGivenUp;
+    impl_->brokers.giveUpAll([&rolesGivenUp] { rolesGivenUp.set_value(); });
+    auto givenUp = rolesGivenUp.get_future();
+    givenUp.wait_for(internal::storeGrace);
+
+    const auto giveUpAt = Clock::now() + internal::longestDrain;
+    while (impl_->callers.inFlight() > 0 && Clock::now() < giveUpAt)
+        std::this_thread::sleep_for(internal::drainPoll);
+
+    auto leaseEnded = std::make_shared<std::promise<void>>();
+    auto ended = leaseEnded->get_future();
+    impl_->members.endLease([leaseEnded] { leaseEnded->set_value(); });
+    ended.wait_for(internal::storeGrace);
+    logEvent(Event::Stopped, {{"in-flight", impl_->callers.inFlight()}});
+}
+
+} // namespace chestnutvane
--- a/chestnutvane/process/drain_state_test.cc
+++ b/chestnutvane/process/drain_state_test.cc
@@ -21,9 +21,9 @@
 // a scan of the rules for each target.
 RC_GTEST_PROP(DrainStateTest, AgreesWithScanOfTheRules, ())
 {
-    const std::vector<DrainRule> possible
-            = {{DrainKind::Target, "a1-1"}, {DrainKind::Zone, "a1"},  {DrainKind::Zone, "a2"},
-               {DrainKind::Region, "a"},    {DrainKind::Region, "b"}, {DrainKind::Target, "b1-2"}};
+    const std::vector<DrainRule> possible = {
+            {DrainKind::Target, "a1-1"}, {DrainKind::Zone, "a1"},  {DrainKind::Zone, "a2"},
+            {DrainKind::Region, "a"},    {DrainKind::Region, "b"}, {DrainKind::Target, "b1-2"}};
     RuleSet rules = twoRegions();
     DrainState state;
     bool isLeaving = false;
--- a/chestnutvane/process/grant_holder.cc
+++ b/chestnutvane/process/grant_holder.cc
@@ -28,8 +28,8 @@
     waiting_.erase(found);
     if (now >= waiting.endsAt)
         return {GrantVerdict::Expired, waiting.endsAt};
-    units_[answer.unit].held[answer.id]
-            = {answer.target, answer.sequence, waiting.fingerprint, answer.alone, waiting.endsAt};
+    units_[answer.unit].held[answer.id] = {answer.target, answer.sequence, waiting.fingerprint,
+                                           answer.alone, waiting.endsAt};
     return {GrantVerdict::Accepted, waiting.endsAt};
 }
 
--- /dev/null
+++ b/chestnutvane/process/grant_service.h
@@ -0,0 +1,50 @@
+// Asks the broker of a unit for grants, wherever it runs, and gives them back.
+//
+// Example:
+//
+//   grants.ask(wish, [&](GrantReply reply) { ... });
+//   grants.release(slot, GrantResult::Succeeded, serviceTime);
+//
+// Thread-safe.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "chestnutvane/process/broker_service.h"
+#include "chestnutvane/process/instance.h"
+#include "chestnutvane/request/request_flow.h"
+
+namespace chestnutvane {
+
+class GrantService
+{
+public:
+    GrantService(Instance &instance, BrokerService &brokers);
+
+    // Asks for a grant. A broker that cannot be reached is looked for again until the queue limit
+    // has passed; the answer then is BrokerUnreachable. The callback is called once, on any thread.
+    void ask(GrantWish wish, std::function<void(GrantReply)> callback);
+
+    // Ends a grant. A release that is lost is made good by the next list of held grants.
+    void release(const HeldSlot &slot, GrantResult result, Duration serviceTime);
+
+    // Sends the lists of held grants to the brokers of all units; call with each heartbeat.
+    void sendHeldLists();
+
+private:
+    struct Ask;
+
+    void tryBroker(const std::shared_ptr<Ask> &ask);
+    void retryLater(const std::shared_ptr<Ask> &ask);
+    void onAnswer(const std::shared_ptr<Ask> &ask, const GrantAnswer &answer);
+    void sendRelease(const std::string &service, const std::string &region,
+                     const GrantRelease &message);
+    std::optional<HeldSlot> heldSlot(const Ask &ask, const GrantAnswer &answer, TimePoint endsAt);
+
+    Instance &instance_;
+    BrokerService &brokers_;
+};
+
+} // namespace chestnutvane
--- a/chestnutvane/process/headroom.cc
+++ b/chestnutvane/process/headroom.cc
@@ -106,11 +106,11 @@
     const HeadroomReport &report = unit->report;
     const double waiting = report.queued;
     // The demand is what runs and what waits; the slots under the cap carry their part of it.
-    const double demand
-            = report.totalSlots - std::min(report.freeSlots, report.totalSlots) + waiting;
+    const double demand =
+            report.totalSlots - std::min(report.freeSlots, report.totalSlots) + waiting;
     const double carried = report.totalSlots * options_.regionCap;
-    const double queuedShare
-            = demand > carried ? (1 - carried / demand) * freshness(*unit, now) : 0;
+    const double queuedShare =
+            demand > carried ? (1 - carried / demand) * freshness(*unit, now) : 0;
     const double refused = refusedShare(*unit, now);
     return std::max(queuedShare, refused > options_.contradictingRefusals ? refused : 0);
 }
--- /dev/null
+++ b/chestnutvane/process/instance.cc
@@ -0,0 +1,74 @@
+#include "chestnutvane/process/instance.h"
+
+#include <charconv>
+
+namespace chestnutvane {
+
+Instance::Instance(Settings chosen, std::string ownIncarnation, HolderId holder, MemberRecord self)
+    : settings(std::move(chosen)), incarnation(std::move(ownIncarnation)), holderId(holder),
+      membership(std::move(self)), grants(holder), once(incarnation, OnceLimits{}, Clock::now())
+{ }
+
+std::shared_ptr<const Version> Instance::version()
+{
+    return configuration.use([](ConfigurationState &state) { return state.version; });
+}
+
+std::string Instance::region()
+{
+    const auto current = version();
+    return current ? regionOfZone(*current, settings.zone) : std::string();
+}
+
+void Instance::noteStoreCall(bool answered, TimePoint now)
+{
+    metrics.increment("vane_store_calls_total", {{"answered", answered ? "yes" : "no"}});
+    membership.use([&](MembershipState &state) {
+        auto &contact = state.store;
+        if (answered && !contact.reachable)
+            contact.reachableSince = now;
+        contact.reachable = answered;
+        if (answered)
+            contact.lastAnswer = now;
+    });
+}
+
+HolderId holderIdOf(const std::string &incarnation)
+{
+    constexpr std::size_t half = incarnationDigits / 2;
+    constexpr int hexadecimal = 16;
+    HolderId id;
+    if (incarnation.size() != incarnationDigits)
+        return id;
+    const char *text = incarnation.data();
+    std::from_chars(text, text + half, id.high, hexadecimal);
+    std::from_chars(text + half, text + incarnationDigits, id.low, hexadecimal);
+    return id;
+}
+
+ContactView contactView(const MembershipState &state, TimePoint now)
+{
+    ContactView view;
+    if (state.store.lastAnswer)
+        view.storeContactAge = now - *state.store.lastAnswer;
+    view.everKnewPeer = state.everKnewPeer;
+    if (state.stalledAt)
+        view.stallAge = now - *state.stalledAt;
+    for (const auto &member : state.table.members(now)) {
+        if (member.record.id == state.table.self().id || member.status == MemberStatus::Gone)
+            continue;
+        PeerContact contact{.heardAge = now - member.heardAt, .storeContactAge = std::nullopt};
+        if (member.record.storeContactAge)
+            contact.storeContactAge = *member.record.storeContactAge;
+        view.peers.push_back(contact);
+    }
+    return view;
+}
+
+std::uint64_t randomNumber()
+{
+    thread_local std::mt19937_64 generator{std::random_device{}()};
+    return generator();
+}
+
+} // namespace chestnutvane
--- a/chestnutvane/process/isolation.cc
+++ b/chestnutvane/process/isolation.cc
@@ -23,27 +23,27 @@
 
 WorkVerdict mayTakeWork(const ContactView &view, const IsolationLimits &limits)
 {
-    const bool peersSilent
-            = std::all_of(view.peers.begin(), view.peers.end(), [&](const PeerContact &peer) {
-                  return peer.heardAge >= limits.isolatedAfter;
-              });
+    const bool peersSilent =
+            std::all_of(view.peers.begin(), view.peers.end(), [&](const PeerContact &peer) {
+                return peer.heardAge >= limits.isolatedAfter;
+            });
     const bool knewPeer = view.everKnewPeer || !view.peers.empty();
     return knewPeer && peersSilent && isOlder(view.storeContactAge, limits.isolatedAfter)
             ? WorkVerdict::Isolated
             : WorkVerdict::Allowed;
 }
 
-GrantVerdict mayGrant(std::optional<Duration> renewalAge, const ContactView &view,
-                      const IsolationLimits &limits)
+GrantAuthority mayGrant(std::optional<Duration> renewalAge, const ContactView &view,
+                        const IsolationLimits &limits)
 {
     if (!renewalAge)
-        return GrantVerdict::NeverRenewed;
+        return GrantAuthority::NeverRenewed;
     if (*renewalAge < limits.leaseTtl - limits.leaseMargin)
-        return GrantVerdict::LeaseHeld;
+        return GrantAuthority::LeaseHeld;
     if (!view.everKnewPeer && view.peers.empty())
-        return GrantVerdict::StoreDown;
+        return GrantAuthority::StoreDown;
     if (view.stallAge && *view.stallAge < limits.peerSilence)
-        return GrantVerdict::Stalled;
+        return GrantAuthority::Stalled;
     bool anyReachable = false;
     bool allFresh = true;
     for (const PeerContact &peer : view.peers) {
@@ -51,15 +51,15 @@
         // Contact after the lease may have lapsed allows a takeover, however long ago it was. This
         // holds for silent peers too.
         if (age && *age < *renewalAge - limits.leaseTtl)
-            return GrantVerdict::PeerReachedStore;
+            return GrantAuthority::PeerReachedStore;
         if (peer.heardAge >= limits.peerSilence)
             continue;
         anyReachable = true;
         allFresh = allFresh && peer.heardAge < limits.freshPeer;
         if (!isOlder(age, limits.presentContact))
-            return GrantVerdict::PeerReachesStore;
+            return GrantAuthority::PeerReachesStore;
     }
-    return anyReachable && allFresh ? GrantVerdict::StoreDown : GrantVerdict::NoPeer;
+    return anyReachable && allFresh ? GrantAuthority::StoreDown : GrantAuthority::NoPeer;
 }
 
 std::optional<std::size_t> configurationPeer(const ContactView &view, const IsolationLimits &limits)
--- a/chestnutvane/process/isolation.h
+++ b/chestnutvane/process/isolation.h
@@ -5,7 +5,7 @@
 //
 //   if (mayTakeWork(view, limits) == WorkVerdict::Isolated)
 //       refuse with 503 and Reason::Isolated;
-//   if (const GrantVerdict verdict = mayGrant(renewalAge, view, limits); !isGranting(verdict))
+//   if (const GrantAuthority verdict = mayGrant(renewalAge, view, limits); !isGranting(verdict))
 //       refuse the grant and log the verdict;
 //
 // An absent age means that there was no contact since the start. Functions without state, safe to
@@ -69,7 +69,7 @@
 // the only one of its deployment.
 WorkVerdict mayTakeWork(const ContactView &view, const IsolationLimits &limits);
 
-enum class GrantVerdict {
+enum class GrantAuthority {
     LeaseHeld,
     StoreDown, // may grant: nobody reachable can have taken the role over
     NeverRenewed,
@@ -79,26 +79,26 @@
     PeerReachedStore, // a peer was in contact with the store after the lease may have lapsed
 };
 
-inline constexpr EnumName<GrantVerdict> grantVerdictNames[] = {
-        {GrantVerdict::LeaseHeld, "lease-held"},
-        {GrantVerdict::StoreDown, "store-down"},
-        {GrantVerdict::NeverRenewed, "never-renewed"},
-        {GrantVerdict::NoPeer, "no-peer"},
-        {GrantVerdict::Stalled, "stalled"},
-        {GrantVerdict::PeerReachesStore, "peer-reaches-store"},
-        {GrantVerdict::PeerReachedStore, "peer-reached-store"},
+inline constexpr EnumName<GrantAuthority> grantAuthorityNames[] = {
+        {GrantAuthority::LeaseHeld, "lease-held"},
+        {GrantAuthority::StoreDown, "store-down"},
+        {GrantAuthority::NeverRenewed, "never-renewed"},
+        {GrantAuthority::NoPeer, "no-peer"},
+        {GrantAuthority::Stalled, "stalled"},
+        {GrantAuthority::PeerReachesStore, "peer-reaches-store"},
+        {GrantAuthority::PeerReachedStore, "peer-reached-store"},
 };
 
 // Tells whether a verdict allows a grant.
-constexpr bool isGranting(GrantVerdict verdict)
+constexpr bool isGranting(GrantAuthority verdict)
 {
-    return verdict == GrantVerdict::LeaseHeld || verdict == GrantVerdict::StoreDown;
+    return verdict == GrantAuthority::LeaseHeld || verdict == GrantAuthority::StoreDown;
 }
 
 // Tells whether the holder of a broker role may grant. renewalAge is the time since the start of
 // the last lease renewal that succeeded, or since the role was taken.
-GrantVerdict mayGrant(std::optional<Duration> renewalAge, const ContactView &view,
-                      const IsolationLimits &limits);
+GrantAuthority mayGrant(std::optional<Duration> renewalAge, const ContactView &view,
+                        const IsolationLimits &limits);
 
 // Returns the index of the reachable peer with the youngest store contact, if this instance has no
 // present contact and that peer has. The configuration is then fetched from it.
--- a/chestnutvane/process/isolation_test.cc
+++ b/chestnutvane/process/isolation_test.cc
@@ -9,9 +9,9 @@
 namespace chestnutvane {
 namespace {
 
-using Decide = std::function<GrantVerdict(std::optional<Duration>, const ContactView &)>;
+using Decide = std::function<GrantAuthority(std::optional<Duration>, const ContactView &)>;
 
-GrantVerdict decide(std::optional<Duration> renewalAge, const ContactView &view)
+GrantAuthority decide(std::optional<Duration> renewalAge, const ContactView &view)
 {
     return mayGrant(renewalAge, view, {});
 }
@@ -93,8 +93,9 @@
 {
     const Decide naive = [](auto renewalAge, const ContactView &view) {
         const auto verdict = decide(renewalAge, view);
-        const bool noContact = verdict == GrantVerdict::NoPeer || verdict == GrantVerdict::Stalled;
-        return noContact ? GrantVerdict::StoreDown : verdict;
+        const bool noContact =
+                verdict == GrantAuthority::NoPeer || verdict == GrantAuthority::Stalled;
+        return noContact ? GrantAuthority::StoreDown : verdict;
     };
     EXPECT_GT(simulate(naive, 200).doubleGrants, 100);
 }
@@ -103,7 +104,7 @@
 {
     const Decide naive = [](auto renewalAge, const ContactView &view) {
         const auto verdict = decide(renewalAge, view);
-        return verdict == GrantVerdict::PeerReachedStore ? GrantVerdict::StoreDown : verdict;
+        return verdict == GrantAuthority::PeerReachedStore ? GrantAuthority::StoreDown : verdict;
     };
     EXPECT_GT(simulate(naive, 200).doubleGrants, 100);
 }
@@ -111,7 +112,8 @@
 TEST(GrantModelTest, FindsUnitWithoutBrokerDuringOutage)
 {
     const Decide naive = [](auto renewalAge, const ContactView &) {
-        return *renewalAge < Milliseconds{4000} ? GrantVerdict::LeaseHeld : GrantVerdict::NoPeer;
+        return *renewalAge < Milliseconds{4000} ? GrantAuthority::LeaseHeld
+                                                : GrantAuthority::NoPeer;
     };
     const Figures figures = simulate(naive, 200);
     EXPECT_LT(figures.outageGrants, figures.outageTicks * 9 / 10);
@@ -121,10 +123,10 @@
 // that stops for no reason.
 TEST(IsolationTest, StopsOnlyWithoutAnyContact)
 {
-    const auto verdict
-            = [](std::optional<Duration> store, bool knew, std::vector<PeerContact> peers) {
-                  return mayTakeWork({store, knew, std::move(peers), {}}, {});
-              };
+    const auto verdict = [](std::optional<Duration> store, bool knew,
+                            std::vector<PeerContact> peers) {
+        return mayTakeWork({store, knew, std::move(peers), {}}, {});
+    };
     const Milliseconds young{3999}, old{4000};
     EXPECT_EQ(verdict(old, true, {{old, {}}, {old, {}}}), WorkVerdict::Isolated);
     EXPECT_EQ(verdict({}, true, {}), WorkVerdict::Isolated);
--- /dev/null
+++ b/chestnutvane/process/look_up_service.cc
@@ -0,0 +1,131 @@
+#include "chestnutvane/process/look_up_service.h"
+
+#include <algorithm>
+
+#include "chestnutvane/process/log.h"
+
+namespace chestnutvane {
+namespace internal {
+namespace {
+
+constexpr Milliseconds refreshInterval{50};
+
+RegionId regionIdOf(const Version &version, const std::string &zone)
+{
+    return findRegion(version.plan, regionOfZone(version, zone)).value_or(noRegion);
+}
+
+void addInstances(RoutingSnapshot &snapshot, MembershipState &state, OnceTable &once,
+                  const std::string &selfId, bool selfServes, TimePoint now)
+{
+    for (const auto &member : state.table.members(now)) {
+        const bool self = member.record.id == selfId;
+        const auto window = self ? once.window() : member.record.keyWindow;
+        snapshot.instances.push_back(
+                {.id = member.record.id,
+                 .region = regionIdOf(*snapshot.version, member.record.zone),
+                 .weight = 1,
+                 .liveAndServing = self ? selfServes : member.status == MemberStatus::Serving});
+        snapshot.entries.push_back(
+                {.id = member.record.id,
+                 .zone = member.record.zone,
+                 .address = member.record.callerAddress,
+                 .weight = 0,
+                 .keyPrefix = formatKeyPrefix(member.record.incarnation, window)});
+    }
+}
+
+} // namespace
+} // namespace internal
+
+LookUpService::LookUpService(Instance &instance, BrokerService &brokers)
+    : instance_(instance), brokers_(brokers)
+{ }
+
+void LookUpService::start()
+{
+    refresh();
+    instance_.workers->every(internal::refreshInterval, [this] { refresh(); });
+}
+
+std::shared_ptr<const RoutingSnapshot> LookUpService::snapshot()
+{
+    return snapshot_.load();
+}
+
+void LookUpService::refresh()
+{
+    auto next = std::make_shared<RoutingSnapshot>();
+    const auto now = Clock::now();
+    const bool ready = instance_.configuration.use([&](ConfigurationState &state) {
+        next->version = state.version;
+        return state.ready;
+    });
+    if (!next->version)
+        return;
+    instance_.membership.use([&](MembershipState &state) {
+        const bool serves = ready && !state.leaving && !state.isolated;
+        instance_.once.use([&](OnceTable &once) {
+            internal::addInstances(*next, state, once, instance_.settings.instanceId, serves, now);
+        });
+        for (const auto &move : next->version->rules.moves)
+            next->moveProgress.push_back(state.moves.adopted(move.name, now));
+    });
+    next->table = makeEntryTable(next->instances, next->version->plan.regions.size());
+    snapshot_.store(std::move(next));
+}
+
+Result<LookUpAnswer, Reason> LookUpService::lookUp(const std::string &service,
+                                                   const std::string &client)
+{
+    const auto current = snapshot();
+    if (!current)
+        return Reason::NoConfiguration;
+    const auto &version = *current->version;
+    const auto serviceIndex = findService(version.plan, service);
+    if (!serviceIndex)
+        return Reason::UnknownService;
+    const auto address = parseIpAddress(client);
+    if (!address)
+        return Reason::BadRequest;
+    const auto caller = callerHash(client);
+    const auto clients = version.clients.table.lookUp(*address);
+    thread_local RegionChoice region;
+    region = {};
+    if (clients)
+        chooseRegion(version.plan, {current->moveProgress, current->units, current->linkShare},
+                     {*serviceIndex, *clients, caller}, region);
+    const RegionId chosen =
+            clients ? region.region : internal::regionIdOf(version, instance_.settings.zone);
+    thread_local EntryChoice choice;
+    if (chooseEntries(current->table, chosen, caller, choice) == EntryOutcome::NoLiveInstance)
+        return Reason::NoTarget;
+    LookUpAnswer answer{.region = chosen < version.plan.regions.size()
+                                ? version.plan.regions[chosen].name
+                                : std::string(),
+                        .revision = version.revision,
+                        .ttl = instance_.settings.lookUpTtl};
+    for (const auto &pick : choice.list()) {
+        answer.entries.push_back(current->entries[pick.instance]);
+        answer.entries.back().weight = pick.weight;
+    }
+    for (const auto &step : region.taken())
+        answer.steps.push_back(describeStep(version.plan, step));
+    return answer;
+}
+
+std::vector<std::string> LookUpService::servingRegions(const Version &version,
+                                                       const std::string &service)
+{
+    std::vector<std::string> regions;
+    const auto own = regionOfZone(version, instance_.settings.zone);
+    if (hasTargets(version, service, own))
+        regions.push_back(own);
+    for (const auto &region : version.rules.regions) {
+        if (region.name != own && hasTargets(version, service, region.name))
+            regions.push_back(region.name);
+    }
+    return regions;
+}
+
+} // namespace chestnutvane
--- /dev/null
+++ b/chestnutvane/process/member_service.cc
@@ -0,0 +1,266 @@
+#include "chestnutvane/process/member_service.h"
+
+#include "chestnutvane/process/log.h"
+
+namespace chestnutvane {
+namespace internal {
+namespace {
+
+constexpr Milliseconds heartbeatTimeout{1000};
+constexpr Milliseconds leaseRetry{300};
+// A gap above this many periods between two runs of the heartbeat timer means that the process was
+// paused.
+constexpr int stallPeriods = 2;
+
+} // namespace
+} // namespace internal
+
+MemberService::MemberService(Instance &instance, BrokerService &brokers, GrantService &grants)
+    : instance_(instance), brokers_(brokers), grants_(grants)
+{ }
+
+void MemberService::start()
+{
+    instance_.membership.use([&](MembershipState &state) {
+        for (const auto &peer : instance_.settings.peers)
+            state.table.addSeed(peer);
+        state.lastBeat = Clock::now();
+    });
+    obtainLease();
+    beat();
+    instance_.workers->every(instance_.settings.heartbeat, [this] { beat(); });
+    instance_.workers->every(instance_.settings.leaseRenewal, [this] { renewLease(); });
+}
+
+void MemberService::onHigherRevision(std::function<void(std::uint64_t)> callback)
+{
+    higherRevision_ = std::move(callback);
+}
+
+void MemberService::refreshSelf()
+{
+    const auto units = brokers_.heldUnits();
+    const auto headroom = brokers_.headroom();
+    const auto crashes = brokers_.crashCounts();
+    const auto [revision, ready] = instance_.configuration.use([](ConfigurationState &state) {
+        return std::pair(state.holder.head().revision, state.ready);
+    });
+    const auto now = Clock::now();
+    const auto keyWindow = instance_.once.use([&](OnceTable &once) {
+        once.prefix(now); // opens a new window when its time has come
+        return once.window();
+    });
+    instance_.membership.use([&](MembershipState &state) {
+        auto record = state.table.self();
+        record.keyWindow = keyWindow;
+        record.brokers = units;
+        record.headroom = headroom;
+        record.crashCounts = crashes;
+        record.revision = revision;
+        record.state = state.leaving       ? MemberState::Leaving
+                : ready && !state.isolated ? MemberState::Serving
+                                           : MemberState::Joining;
+        record.storeContactAge.reset();
+        if (state.store.lastAnswer)
+            record.storeContactAge =
+                    std::chrono::duration_cast<Milliseconds>(now - *state.store.lastAnswer);
+        state.table.updateSelf(std::move(record));
+    });
+}
+
+void MemberService::beat()
+{
+    refreshSelf();
+    const auto now = Clock::now();
+    std::vector<std::pair<std::string, Heartbeat>> messages;
+    instance_.membership.use([&](MembershipState &state) {
+        if (now - state.lastBeat > instance_.settings.heartbeat * (internal::stallPeriods + 1))
+            state.stalledAt = now;
+        state.lastBeat = now;
+        for (const auto &target : state.table.heartbeatTargets(now)) {
+            if (target.peerAddress != state.table.self().peerAddress)
+                messages.emplace_back(target.peerAddress, state.table.makeHeartbeat(target, now));
+        }
+    });
+    for (const auto &[address, heartbeat] : messages) {
+        auto body = encodeHeartbeat(heartbeat);
+        instance_.metrics.increment("vane_heartbeat_bytes_total", {},
+                                    static_cast<double>(body.size()));
+        instance_.peers->call(address, "heartbeat", std::move(body), internal::heartbeatTimeout,
+                              [this, address](Result<std::string, PeerError> reply) {
+                                  if (!isOk(reply)) {
+                                      if (error(reply).failure == PeerFailure::Timeout)
+                                          instance_.peers->disconnect(address);
+                                      return;
+                                  }
+                                  if (auto answer = decodeHeartbeat(value(reply)); isOk(answer))
+                                      instance_.workers->post([this, content = value(answer)] {
+                                          receive(content);
+                                      });
+                              });
+    }
+    grants_.sendHeldLists();
+    mayTakeWork();
+    logChanges();
+}
+
+std::string MemberService::onHeartbeat(const std::string &body)
+{
+    if (auto heartbeat = decodeHeartbeat(body); isOk(heartbeat))
+        receive(value(heartbeat));
+    return instance_.membership.use([&](MembershipState &state) {
+        return encodeHeartbeat(state.table.makeHeartbeat({}, Clock::now()));
+    });
+}
+
+void MemberService::receive(const Heartbeat &heartbeat)
+{
+    std::vector<CrashCount> crashes = heartbeat.sender.crashCounts;
+    for (const auto &relayed : heartbeat.relayed)
+        crashes.insert(crashes.end(), relayed.record.crashCounts.begin(),
+                       relayed.record.crashCounts.end());
+    brokers_.mergeCrashCounts(crashes);
+    const auto result = instance_.membership.use([&](MembershipState &state) {
+        state.everKnewPeer = true;
+        for (const auto &move : heartbeat.sender.moves)
+            state.moves.observe(move.move, {move.seenProgress, move.seenStep}, 0, Clock::now());
+        return state.table.receive(heartbeat, Clock::now());
+    });
+    const bool wanted = instance_.configuration.use([&](ConfigurationState &state) {
+        return state.holder.wantsFrom(result.highestRevision);
+    });
+    if (wanted && higherRevision_)
+        higherRevision_(result.highestRevision);
+}
+
+void MemberService::logChanges()
+{
+    const auto members = instance_.membership.use(
+            [](MembershipState &state) { return state.table.members(Clock::now()); });
+    const std::lock_guard lock(statusMutex_);
+    for (const auto &member : members) {
+        auto &status = statuses_[member.record.id];
+        if (status == member.status)
+            continue;
+        status = member.status;
+        logEvent(Event::MemberChanged,
+                 {{"member", member.record.id},
+                  {"zone", member.record.zone},
+                  {"status", enumName(memberStatusNames, member.status)}});
+    }
+}
+
+bool MemberService::mayTakeWork()
+{
+    const auto now = Clock::now();
+    const IsolationLimits limits{.isolatedAfter = instance_.settings.isolationLimit,
+                                 .leaseTtl = instance_.settings.leaseTtl};
+    const auto [isolated, changed] = instance_.membership.use([&](MembershipState &state) {
+        const bool cutOff =
+                chestnutvane::mayTakeWork(contactView(state, now), limits) == WorkVerdict::Isolated;
+        const bool different = cutOff != state.isolated;
+        state.isolated = cutOff;
+        return std::pair(cutOff, different);
+    });
+    if (changed)
+        logEvent(isolated ? Event::Isolated : Event::ContactRegained, {});
+    return !isolated;
+}
+
+void MemberService::beginLeaving()
+{
+    instance_.membership.use([](MembershipState &state) { state.leaving = true; });
+    beat();
+}
+
+void MemberService::obtainLease()
+{
+    const auto startedAt = Clock::now();
+    instance_.store.grantLease(instance_.settings.leaseTtl,
+                               [this, startedAt](Result<std::uint64_t, StoreError> result) {
+                                   instance_.noteStoreCall(isStoreAnswer(result), Clock::now());
+                                   if (isOk(result))
+                                       writeLeaseKey(value(result), 0, startedAt);
+                                   else
+                                       instance_.workers->after(internal::leaseRetry,
+                                                                [this] { obtainLease(); });
+                               });
+}
+
+void MemberService::writeLeaseKey(std::uint64_t leaseId, std::uint64_t expectedVersion,
+                                  TimePoint startedAt)
+{
+    const auto key = "instance/" + instance_.settings.instanceId;
+    instance_.store.compareAndSwap(
+            {.key = key,
+             .expectedVersion = expectedVersion,
+             .value = instance_.incarnation,
+             .leaseId = leaseId},
+            [this, key, leaseId, startedAt](Result<std::uint64_t, StoreError> result) {
+                instance_.noteStoreCall(isStoreAnswer(result), Clock::now());
+                if (isOk(result)) {
+                    leaseHeld(leaseId, startedAt);
+                    return;
+                }
+                // The key of a former incarnation is still there, or the answer was lost.
+                instance_.store.get(
+                        key, [this, leaseId, startedAt](Result<StoreEntry, StoreError> entry) {
+                            if (isOk(entry) && value(entry).value == instance_.incarnation)
+                                leaseHeld(leaseId, startedAt);
+                            else if (isOk(entry))
+                                writeLeaseKey(leaseId, value(entry).version, startedAt);
+                            else
+                                instance_.workers->after(internal::leaseRetry,
+                                                         [this] { obtainLease(); });
+                        });
+            });
+}
+
+void MemberService::leaseHeld(std::uint64_t leaseId, TimePoint startedAt)
+{
+    instance_.membership.use([&](MembershipState &state) {
+        state.store.leaseId = leaseId;
+        state.store.renewalStart = startedAt;
+        state.store.leaseEverHeld = true;
+    });
+    logEvent(Event::LeaseObtained, {{"lease", leaseId}});
+}
+
+void MemberService::renewLease()
+{
+    const auto startedAt = Clock::now();
+    const auto leaseId =
+            instance_.membership.use([](MembershipState &state) { return state.store.leaseId; });
+    if (leaseId == 0)
+        return;
+    instance_.store.keepAlive(leaseId, [this, startedAt](Result<Done, StoreError> result) {
+        instance_.noteStoreCall(isStoreAnswer(result), Clock::now());
+        if (isOk(result)) {
+            instance_.membership.use(
+                    [&](MembershipState &state) { state.store.renewalStart = startedAt; });
+            return;
+        }
+        if (error(result).failure != StoreFailure::NotFound)
+            return;
+        instance_.membership.use([](MembershipState &state) {
+            state.store.leaseId = 0;
+            state.store.leaseLost = true;
+        });
+        logEvent(Event::LeaseLost, {});
+        obtainLease();
+    });
+}
+
+void MemberService::endLease(std::function<void()> done)
+{
+    const auto leaseId = instance_.membership.use(
+            [](MembershipState &state) { return std::exchange(state.store.leaseId, 0); });
+    if (leaseId == 0) {
+        done();
+        return;
+    }
+    instance_.store.revokeLease(leaseId,
+                                [done = std::move(done)](Result<Done, StoreError>) { done(); });
+}
+
+} // namespace chestnutvane
--- a/chestnutvane/process/membership.cc
+++ b/chestnutvane/process/membership.cc
@@ -35,19 +35,24 @@
                                         unit.totalSlots, unit.queued, unit.age.count()}));
     }
     Json crashes = Json::array();
-    for (const auto &[fingerprint, count] : record.crashCounts)
-        crashes.push_back(Json::array({fingerprint, count}));
+    for (const CrashCount &count : record.crashCounts) {
+        const auto age = std::chrono::duration_cast<Milliseconds>(count.age);
+        crashes.push_back(
+                Json::array({count.counter.high, count.counter.low, count.region, count.fingerprint,
+                             count.crashes, count.cleared, age.count()}));
+    }
     Json moves = Json::array();
     for (const MoveReport &move : record.moves) {
         moves.push_back(
                 Json::array({move.move, move.seenStep, move.seenProgress, move.adoptedStep}));
     }
-    return Json::array(
-            {record.id, record.incarnation, record.generation, record.sequence, record.zone,
-             record.callerAddress, record.operatorAddress, record.peerAddress,
-             enumName(memberStateNames, record.state), record.revision, std::move(brokers),
-             std::move(headroom), std::move(crashes), std::move(moves),
-             record.storeContactAge ? Json(record.storeContactAge->count()) : Json(), record.load});
+    return Json::array({record.id, record.incarnation, record.generation, record.sequence,
+                        record.zone, record.callerAddress, record.operatorAddress,
+                        record.peerAddress, enumName(memberStateNames, record.state),
+                        record.revision, std::move(brokers), std::move(headroom),
+                        std::move(crashes), std::move(moves),
+                        record.storeContactAge ? Json(record.storeContactAge->count()) : Json(),
+                        record.load, record.keyWindow});
 }
 
 // Reads the entries of an array one after the other.
@@ -114,7 +119,7 @@
 
 MemberRecord recordFromJson(const Json &json)
 {
-    ArrayReader reader(json, 16, "record");
+    ArrayReader reader(json, 17, "record");
     MemberRecord record;
     record.id = reader.text();
     record.incarnation = reader.text();
@@ -150,9 +155,15 @@
         headroom.age = unit.milliseconds();
     }
     for (const Json &entry : reader.list()) {
-        ArrayReader pair(entry, 2, "crash count");
-        const auto fingerprint = pair.number<std::uint64_t>();
-        record.crashCounts.emplace_back(fingerprint, pair.number<std::uint32_t>());
+        ArrayReader fields(entry, 7, "crash count");
+        auto &count = record.crashCounts.emplace_back();
+        count.counter.high = fields.number<std::uint64_t>();
+        count.counter.low = fields.number<std::uint64_t>();
+        count.region = fields.text();
+        count.fingerprint = fields.number<std::uint64_t>();
+        count.crashes = fields.number<std::uint32_t>();
+        count.cleared = fields.number<std::uint32_t>();
+        count.age = fields.milliseconds();
     }
     for (const Json &entry : reader.list()) {
         ArrayReader report(entry, 4, "move");
@@ -168,6 +179,7 @@
     else if (!age.is_null())
         reader.fail("has a store contact age that is not a time");
     record.load = reader.real();
+    record.keyWindow = reader.number<std::uint64_t>();
     return record;
 }
 
--- a/chestnutvane/process/membership.h
+++ b/chestnutvane/process/membership.h
@@ -25,6 +25,7 @@
 #include "chestnutvane/base/enum_names.h"
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/base/time.h"
+#include "chestnutvane/process/crash_suspects.h"
 
 namespace chestnutvane {
 
@@ -106,9 +107,10 @@
     std::string peerAddress;
     MemberState state = MemberState::Joining;
     std::uint64_t revision = 0;
+    std::uint64_t keyWindow = 1; // window of the one-time keys that look-ups hand out
     std::vector<HeldUnit> brokers;
     std::vector<UnitHeadroom> headroom;
-    std::vector<std::pair<std::uint64_t, std::uint32_t>> crashCounts; // fingerprint, crashes
+    std::vector<CrashCount> crashCounts;
     std::vector<MoveReport> moves;
     std::optional<Milliseconds> storeContactAge; // nothing: never had contact
     double load = 0; // requests in flight over the connection limit
--- a/chestnutvane/process/membership_test.cc
+++ b/chestnutvane/process/membership_test.cc
@@ -24,7 +24,7 @@
     record.state = MemberState::Serving;
     record.brokers = {{"box-office", "taipei", 3}};
     record.headroom = {{"box-office", "taipei", 3, 5, 48, 0, Milliseconds{20}}};
-    record.crashCounts = {{0x123456789abcdef0ULL, 1}};
+    record.crashCounts = {{{1, 2}, "taipei", 0x123456789abcdef0ULL, 1, 0, Milliseconds{40}}};
     record.moves = {{"south", 4, 0.25, 3}};
     record.storeContactAge = Milliseconds{150};
     record.load = 0.5;
@@ -75,10 +75,10 @@
         else
             table.receive({makeRecord("b"), {{record, Milliseconds{100}}}, {}}, start);
     }
-    const auto newest
-            = std::max_element(received.begin(), received.end(), [](const auto &x, const auto &y) {
-                  return std::tie(x.generation, x.sequence) < std::tie(y.generation, y.sequence);
-              });
+    const auto newest =
+            std::max_element(received.begin(), received.end(), [](const auto &x, const auto &y) {
+                return std::tie(x.generation, x.sequence) < std::tie(y.generation, y.sequence);
+            });
     const auto member = table.find("a", start);
     RC_ASSERT(member->record == *newest);
     RC_ASSERT(member->status
--- a/chestnutvane/process/move_progress.cc
+++ b/chestnutvane/process/move_progress.cc
@@ -45,8 +45,8 @@
 double stepSize(const MoveRule &rule, const MoveOptions &options, double shiftCapPercent,
                 int activeMoves)
 {
-    const double cap
-            = std::min(rule.capPercentPerMinute, shiftCapPercent / std::max(1, activeMoves)) / 100
+    const double cap =
+            std::min(rule.capPercentPerMinute, shiftCapPercent / std::max(1, activeMoves)) / 100
             * (static_cast<double>(options.window.count()) / 60000);
     const auto affected = (options.window + options.lookUpTtl + options.maxLag).count()
                     / options.stepInterval.count()
@@ -154,8 +154,8 @@
         state.adoptedAt = now;
     } else if (isDue) {
         // The values of the steps between are not known; they are taken as equal.
-        state.adopted.progress
-                += (state.seen.progress - state.adopted.progress) / static_cast<double>(behind);
+        state.adopted.progress +=
+                (state.seen.progress - state.adopted.progress) / static_cast<double>(behind);
         ++state.adopted.step;
         state.adoptedAt = now;
     }
--- a/chestnutvane/process/move_progress_test.cc
+++ b/chestnutvane/process/move_progress_test.cc
@@ -139,9 +139,9 @@
             // The platform's list drops a dead instance after 20 s.
             const bool isListed = isDead(i) ? tick_ < deadAt_ + 200 : isHeard || cutOffListed_;
             if (isHeard || isListed)
-                conditions.lowestAdoptedStep
-                        = std::min(conditions.lowestAdoptedStep.value_or(~0ULL),
-                                   instances_[i].progress.adoptedStep("m"));
+                conditions.lowestAdoptedStep =
+                        std::min(conditions.lowestAdoptedStep.value_or(~0ULL),
+                                 instances_[i].progress.adoptedStep("m"));
         }
         if (policy_ == Policy::NoAdoptionLimit)
             conditions.lowestAdoptedStep.reset();
@@ -244,12 +244,12 @@
         return rise;
     };
     const double limit = Deployment::cap + Deployment::tolerance;
-    const std::pair<Policy, const char *> policies[]
-            = {{Policy::EachSpendsTheCap, "each-spends-the-cap"},
-               {Policy::WallClock, "wall-clock"},
-               {Policy::NoTtlFactor, "no-ttl-factor"},
-               {Policy::TtlFactorOnly, "ttl-factor-only"},
-               {Policy::NoAdoptionLimit, "no-adoption-limit"}};
+    const std::pair<Policy, const char *> policies[] = {
+            {Policy::EachSpendsTheCap, "each-spends-the-cap"},
+            {Policy::WallClock, "wall-clock"},
+            {Policy::NoTtlFactor, "no-ttl-factor"},
+            {Policy::TtlFactorOnly, "ttl-factor-only"},
+            {Policy::NoAdoptionLimit, "no-adoption-limit"}};
     for (const auto &[policy, name] : policies) {
         const double rise = worst(policy);
         RecordProperty(name, std::to_string(rise));
--- a/chestnutvane/process/once_table_test.cc
+++ b/chestnutvane/process/once_table_test.cc
@@ -213,9 +213,9 @@
         const bool forwarded = !call.forwarder.empty();
         const Fingerprint print{.high = 0,
                                 .low = variant_ == Variant::KeyWithoutFingerprint ? 0 : call.print};
-        const OnceBegin begin
-                = node.table->begin(keys_[call.key], print, id,
-                                    forwarded ? OnceSource::Peer : OnceSource::Caller, now_);
+        const OnceBegin begin =
+                node.table->begin(keys_[call.key], print, id,
+                                  forwarded ? OnceSource::Peer : OnceSource::Caller, now_);
         if (std::holds_alternative<OnceRun>(begin)) {
             dispatch(node, id);
         } else if (std::holds_alternative<OnceWait>(begin)) {
@@ -292,8 +292,8 @@
         const Request request{call.key, call.print};
         if (result.outcome == Outcome::NotRun)
             toldNotRun_.insert(request);
-        const bool otherAnswer
-                = result.answer && result.answer->body != "print" + std::to_string(call.print);
+        const bool otherAnswer =
+                result.answer && result.answer->body != "print" + std::to_string(call.print);
         if (otherAnswer || (result.outcome == Outcome::Ran && !ran_.contains(request)))
             ++figures_.wrongAnswers;
     }
--- /dev/null
+++ b/chestnutvane/process/operator_service.cc
@@ -0,0 +1,208 @@
+#include "chestnutvane/process/operator_service.h"
+
+#include <nlohmann/json.hpp>
+
+#include "chestnutvane/version/rule_parser.h"
+
+namespace chestnutvane {
+namespace internal {
+namespace {
+
+using nlohmann::json;
+
+constexpr int badRequest = 400;
+constexpr int notFound = 404;
+constexpr int unavailable = 503;
+
+ServerResponse jsonResponse(int status, const json &body)
+{
+    return {.status = status,
+            .headers = {{"Content-Type", "application/json"}},
+            .body = body.dump(-1, ' ', false, json::error_handler_t::replace)};
+}
+
+ServerResponse textResponse(int status, std::string text)
+{
+    return {.status = status, .headers = {{"Content-Type", "text/plain"}}, .body = std::move(text)};
+}
+
+std::string queryValue(std::string_view query, std::string_view name)
+{
+    while (!query.empty()) {
+        const auto pair = query.substr(0, query.find('&'));
+        const auto equals = pair.find('=');
+        if (equals != std::string_view::npos && pair.substr(0, equals) == name)
+            return std::string(pair.substr(equals + 1));
+        query.remove_prefix(std::min(query.size(), pair.size() + 1));
+    }
+    return {};
+}
+
+} // namespace
+} // namespace internal
+
+OperatorService::OperatorService(Instance &instance, BrokerService &brokers,
+                                 ConfigService &configuration, LookUpService &lookUps,
+                                 CallerService &callers)
+    : instance_(instance), brokers_(brokers), configuration_(configuration), lookUps_(lookUps),
+      callers_(callers)
+{ }
+
+void OperatorService::handle(ServerRequest request, Responder respond)
+{
+    if (request.path == "/healthz")
+        respond(internal::textResponse(200, "ok\n"));
+    else if (request.path == "/readyz")
+        respond(internal::textResponse(ready() ? 200 : internal::unavailable,
+                                       ready() ? "ready\n" : "not ready\n"));
+    else if (request.path == "/metrics")
+        metrics(respond);
+    else if (request.path == "/v1/status")
+        status(respond);
+    else if (request.path == "/v1/config")
+        config(respond);
+    else if (request.path == "/v1/explain")
+        explain(request, respond);
+    else if (request.path == "/v1/apply" && request.method == "POST")
+        apply(request, std::move(respond));
+    else
+        respond(internal::jsonResponse(internal::notFound, {{"error", "unknown-path"}}));
+}
+
+bool OperatorService::ready()
+{
+    const bool serving = instance_.membership.use(
+            [](MembershipState &state) { return !state.leaving && !state.isolated; });
+    return serving
+            && instance_.configuration.use([](ConfigurationState &state) { return state.ready; });
+}
+
+void OperatorService::metrics(const Responder &respond)
+{
+    for (const auto &report : brokers_.reports())
+        instance_.metrics.set("vane_headroom",
+                              {{"service", report.service}, {"region", report.region}},
+                              report.headroom);
+    instance_.metrics.set("vane_requests_in_flight", {}, callers_.inFlight());
+    instance_.configuration.use([&](ConfigurationState &state) {
+        instance_.metrics.set("vane_revision", {},
+                              static_cast<double>(state.holder.head().revision));
+    });
+    respond(internal::textResponse(200, instance_.metrics.exposition()));
+}
+
+void OperatorService::status(const Responder &respond)
+{
+    internal::json body{
+            {"instance", instance_.settings.instanceId}, {"incarnation", instance_.incarnation},
+            {"zone", instance_.settings.zone},           {"ready", ready()},
+            {"in-flight", callers_.inFlight()},          {"members", internal::json::array()},
+            {"units", internal::json::array()}};
+    instance_.configuration.use([&](ConfigurationState &state) {
+        body["revision"] = state.holder.head().revision;
+        body["change-id"] = state.holder.head().changeId;
+    });
+    instance_.membership.use([&](MembershipState &state) {
+        body["isolated"] = state.isolated;
+        body["leaving"] = state.leaving;
+        body["store-reachable"] = state.store.reachable;
+        for (const auto &member : state.table.members(Clock::now())) {
+            internal::json row{{"id", member.record.id},
+                               {"zone", member.record.zone},
+                               {"status", enumName(memberStatusNames, member.status)},
+                               {"revision", member.record.revision},
+                               {"operator-address", member.record.operatorAddress},
+                               {"brokers", internal::json::array()},
+                               {"headroom", internal::json::array()}};
+            for (const auto &unit : member.record.brokers)
+                row["brokers"].push_back(unit.service + "/" + unit.region);
+            for (const auto &unit : member.record.headroom)
+                row["headroom"].push_back({{"service", unit.service},
+                                           {"region", unit.region},
+                                           {"free-slots", unit.freeSlots},
+                                           {"total-slots", unit.totalSlots},
+                                           {"queued", unit.queued}});
+            body["members"].push_back(std::move(row));
+        }
+    });
+    for (const auto &report : brokers_.reports())
+        body["units"].push_back({{"service", report.service},
+                                 {"region", report.region},
+                                 {"epoch", report.epoch},
+                                 {"slots", report.status.slots},
+                                 {"effective-slots", report.status.effectiveSlots},
+                                 {"in-use", report.status.inUse},
+                                 {"queued", report.status.queued},
+                                 {"rebuilding", report.status.rebuilding},
+                                 {"headroom", report.headroom}});
+    respond(internal::jsonResponse(200, body));
+}
+
+void OperatorService::config(const Responder &respond)
+{
+    const auto head = instance_.configuration.use(
+            [](ConfigurationState &state) { return state.holder.head(); });
+    respond(internal::jsonResponse(200,
+                                   {{"revision", head.revision},
+                                    {"change-id", head.changeId},
+                                    {"author", head.author},
+                                    {"rules", head.rules}}));
+}
+
+void OperatorService::explain(const ServerRequest &request, const Responder &respond)
+{
+    const auto service = internal::queryValue(request.query, "service");
+    const auto client = internal::queryValue(request.query, "client");
+    const auto answer = lookUps_.lookUp(service, client);
+    if (!isOk(answer)) {
+        respond(internal::jsonResponse(internal::badRequest,
+                                       {{"error", enumName(reasonNames, error(answer))}}));
+        return;
+    }
+    internal::json body{{"region", value(answer).region},
+                        {"revision", value(answer).revision},
+                        {"steps", value(answer).steps},
+                        {"instances", internal::json::array()}};
+    for (const auto &entry : value(answer).entries)
+        body["instances"].push_back(
+                {{"id", entry.id}, {"zone", entry.zone}, {"weight", entry.weight}});
+    respond(internal::jsonResponse(200, body));
+}
+
+void OperatorService::apply(const ServerRequest &request, Responder respond)
+{
+    const auto body = internal::json::parse(request.body, nullptr, false);
+    ApplyRequest change;
+    try {
+        change.rules = body.at("rules").get<std::string>();
+        change.baseRevision = body.at("base-revision").get<std::uint64_t>();
+        change.changeId = body.at("change-id").get<std::string>();
+        change.author = body.at("author").get<std::string>();
+        change.repeated = body.value("repeated", false);
+    } catch (const internal::json::exception &failure) {
+        respond(internal::jsonResponse(internal::badRequest,
+                                       {{"error", "bad-request"}, {"detail", failure.what()}}));
+        return;
+    }
+    if (const auto compiled = compileVersion(0, change.rules); !isOk(compiled)) {
+        respond(internal::jsonResponse(
+                internal::badRequest,
+                {{"error", "bad-rules"}, {"detail", error(compiled).detail}}));
+        return;
+    }
+    configuration_.apply(std::move(change), [respond = std::move(respond)](ApplyVerdict verdict) {
+        internal::json answer{{"change-id", verdict.changeId},
+                              {"outcome", enumName(applyOutcomeNames, verdict.outcome)},
+                              {"reason", enumName(applyReasonNames, verdict.reason)}};
+        if (verdict.head) {
+            answer["revision"] = verdict.head->revision;
+            if (verdict.outcome == ApplyOutcome::Conflict) {
+                answer["author"] = verdict.head->author;
+                answer["rules"] = verdict.head->rules;
+            }
+        }
+        respond(internal::jsonResponse(200, answer));
+    });
+}
+
+} // namespace chestnutvane
--- a/chestnutvane/process/slot_broker.cc
+++ b/chestnutvane/process/slot_broker.cc
@@ -175,8 +175,8 @@
         return;
     const std::size_t index = grant->targetIndex;
     const std::uint64_t fingerprint = grant->fingerprint;
-    const CrashSign sign
-            = noteOutcome(state.targets[index], result, fingerprint, grant->issuedAt, now);
+    const CrashSign sign =
+            noteOutcome(state.targets[index], result, fingerprint, grant->issuedAt, now);
     state.reportCrash(sign, index, fingerprint, effects);
     if (result == GrantResult::Succeeded) {
         if (grant->alone)
--- a/chestnutvane/process/slot_broker.h
+++ b/chestnutvane/process/slot_broker.h
@@ -99,8 +99,8 @@
     std::uint64_t fingerprint = 0;
 };
 
-using BrokerEffect
-        = std::variant<GrantEffect, RefusalEffect, ReclaimEffect, CrashEffect, ClearSuspectEffect>;
+using BrokerEffect =
+        std::variant<GrantEffect, RefusalEffect, ReclaimEffect, CrashEffect, ClearSuspectEffect>;
 using BrokerEffects = std::vector<BrokerEffect>;
 
 // Counts for status pages, heartbeats and tests.
--- a/chestnutvane/request/one_time_key.cc
+++ b/chestnutvane/request/one_time_key.cc
@@ -30,8 +30,8 @@
         || incarnation.find_first_not_of(hexDigits) != incarnation.npos)
         return KeyFault::Incarnation;
     OneTimeKey key;
-    const auto [end, status]
-            = std::from_chars(window.data(), window.data() + window.size(), key.window);
+    const auto [end, status] =
+            std::from_chars(window.data(), window.data() + window.size(), key.window);
     if (status != std::errc{} || end != window.data() + window.size() || window.front() == '0')
         return KeyFault::Window;
     if (random.size() < minKeyRandomLength || random.size() > maxKeyRandomLength)
--- /dev/null
+++ b/chestnutvane/request/request_flow.h
@@ -0,0 +1,167 @@
+// The life of one request: ask for a grant, send to the target, retry where that is allowed,
+// answer.
+//
+// The flow does no I/O itself; it is driven by the functions of RequestServices, which tests
+// replace by fakes.
+//
+// Example:
+//
+//   auto flow = RequestFlow::create(services, incoming, [](FlowResult result) { ... });
+//   flow->start();
+//
+// Thread-safe: each callback may come on any thread. The result function is called exactly once.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "chestnutvane/base/time.h"
+#include "chestnutvane/connection/http_client.h"
+#include "chestnutvane/process/grant_types.h"
+#include "chestnutvane/request/outcome.h"
+#include "chestnutvane/request/request_class.h"
+#include "chestnutvane/request/retry_policy.h"
+
+namespace chestnutvane {
+
+// A request as it came from a caller.
+struct IncomingRequest
+{
+    std::uint64_t number = 0; // of this instance; names the request in logs
+    std::string id; // unique in the fleet; sent to the target as Vane-Request-Id
+    RequestClass requestClass;
+    std::string method;
+    std::string path; // within the service, starts with "/"
+    std::string query;
+    std::vector<HttpHeader> headers; // to be passed on
+    std::shared_ptr<const std::string> body;
+    std::uint64_t fingerprint = 0;
+    TimePoint deadline;
+    std::vector<std::string> regions; // to be tried in this order
+};
+
+// What a flow asks the unit's broker for.
+struct GrantWish
+{
+    std::string service;
+    std::string region;
+    int importance = 0;
+    Duration queueLimit{};
+    TimePoint deadline;
+    std::uint64_t fingerprint = 0;
+    TriedTargets tried;
+};
+
+// A grant that this instance holds.
+struct HeldSlot
+{
+    UnitId unit = 0;
+    GrantId id;
+    TargetId target = 0;
+    std::string targetName;
+    std::string targetAddress; // "IP:port"
+    TimePoint endsAt;
+};
+
+// A grant, or why there is none.
+using GrantReply = std::variant<HeldSlot, Reason>;
+
+// How the exchange with a target ended.
+using ExchangeResult = Result<HttpResponse, HttpError>;
+
+// What a flow needs from the process.
+struct RequestServices
+{
+    std::function<TimePoint()> now;
+    std::function<void(GrantWish, std::function<void(GrantReply)>)> askGrant;
+    std::function<void(const HeldSlot &, GrantResult, Duration serviceTime)> release;
+    // Sends to a target; yields an id for cancelExchange.
+    std::function<HttpClient::SendId(HttpRequest, std::function<void(ExchangeResult)>)> send;
+    std::function<void(HttpClient::SendId)> cancelExchange;
+    // Asks the target for its health over a new connection; true: it answered.
+    std::function<void(const HeldSlot &, std::function<void(bool)>)> probe;
+    // Stops the reuse of the open connections to a target.
+    std::function<void(const HeldSlot &)> abandonConnections;
+    std::function<bool(const RequestClass &, const AttemptHistory &, Duration remaining)> mayRetry;
+};
+
+// What the caller is told.
+struct FlowResult
+{
+    Outcome outcome = Outcome::Unknown;
+    Reason reason = Reason::None;
+    int status = 502;
+    std::vector<HttpHeader> headers; // of the target
+    std::string body;
+    std::string target; // name of the target that answered
+    int attempts = 0;
+};
+
+class RequestFlow : public std::enable_shared_from_this<RequestFlow>
+{
+public:
+    using Callback = std::function<void(FlowResult)>;
+
+    static std::shared_ptr<RequestFlow> create(RequestServices services, IncomingRequest request,
+                                               Callback callback);
+
+    void start();
+
+private:
+    struct Attempt
+    {
+        HeldSlot slot;
+        TimePoint startedAt;
+        HttpClient::SendId sendId = 0;
+        bool done = false;
+    };
+
+    RequestFlow(RequestServices services, IncomingRequest request, Callback callback);
+
+    void askGrant(bool hedge);
+    void onGrant(GrantReply reply, bool hedge);
+    void onRefusal(Reason reason, bool hedge);
+    void beginAttempt(HeldSlot slot);
+    void onExchange(std::size_t index, ExchangeResult result);
+    void onSilence(std::size_t index);
+    void onAnswer(std::size_t index, HttpResponse response);
+    void onFailure(std::size_t index, Outcome outcome, Reason reason);
+    void finish(FlowResult result);
+    void cancelOthers(std::size_t winner);
+    HttpRequest exchangeRequest(std::size_t index, const HeldSlot &slot);
+    bool isAtMostOnce() const;
+
+    RequestServices services_;
+    IncomingRequest request_;
+
+    std::mutex mutex_; // guards all below; held across no call of a service
+    Callback callback_;
+    std::vector<Attempt> attempts_;
+    AttemptHistory history_;
+    TriedTargets tried_;
+    std::size_t regionIndex_ = 0;
+    int running_ = 0; // attempts in progress or waiting for a grant
+    bool finished_ = false;
+};
+
+// What an exchange tells about one attempt: a whole answer, or an outcome with its reason.
+struct AttemptVerdict
+{
+    Outcome outcome = Outcome::Unknown;
+    Reason reason = Reason::None;
+    GrantResult grantResult = GrantResult::NotSent;
+};
+
+// Judges an exchange with a target. An answer that names another request is not ours: it is
+// Unknown. A 503 with "Vane-Not-Run: 1" is a refusal of the target.
+AttemptVerdict judgeExchange(const ExchangeResult &result, const std::string &requestId);
+
+// HTTP status for a refusal or failure without an answer of a target.
+int statusOf(Outcome outcome, Reason reason);
+
+} // namespace chestnutvane
--- a/chestnutvane/version/client_block.cc
+++ b/chestnutvane/version/client_block.cc
@@ -51,8 +51,8 @@
         return ClientBlockError::BadAddress;
     const auto digits = text.substr(slash + 1);
     unsigned length = 0;
-    const auto [end, status]
-            = std::from_chars(digits.data(), digits.data() + digits.size(), length);
+    const auto [end, status] =
+            std::from_chars(digits.data(), digits.data() + digits.size(), length);
     const unsigned longest = address->family == IpFamily::V4 ? 32 : 128;
     if (digits.empty() || status != std::errc() || end != digits.data() + digits.size()
         || length > longest)
--- a/chestnutvane/version/entry_choice_test.cc
+++ b/chestnutvane/version/entry_choice_test.cc
@@ -35,8 +35,8 @@
     const std::vector<EntryInstance> instances = genInstances(regions);
     const RegionId region = *rc::gen::inRange<RegionId>(0, regions);
     EntryChoice choice;
-    const EntryOutcome outcome
-            = chooseEntries(makeEntryTable(instances, regions), region, caller, choice);
+    const EntryOutcome outcome =
+            chooseEntries(makeEntryTable(instances, regions), region, caller, choice);
 
     std::size_t own = 0;
     std::map<RegionId, std::size_t> others;
--- a/chestnutvane/version/prefix_table.cc
+++ b/chestnutvane/version/prefix_table.cc
@@ -452,8 +452,9 @@
 Result<PrefixTable, PrefixTableError> PrefixTable::build(std::vector<BlockChoice> blocks)
 {
     using namespace internal;
-    const auto blockLess
-            = [](const BlockChoice &a, const BlockChoice &b) { return a.block < b.block; };
+    const auto blockLess = [](const BlockChoice &a, const BlockChoice &b) {
+        return a.block < b.block;
+    };
     if (!std::is_sorted(blocks.begin(), blocks.end(), blockLess))
         std::sort(blocks.begin(), blocks.end(), blockLess);
     const auto same = [](const BlockChoice &a, const BlockChoice &b) { return a.block == b.block; };
--- a/chestnutvane/version/region_choice.cc
+++ b/chestnutvane/version/region_choice.cc
@@ -56,8 +56,8 @@
     for (const auto &[region, weight] : plan.clients[query.clients]) {
         if (!(allowed & bit(region)) || weight <= 0)
             continue;
-        const double score
-                = weightedScore(hashPair(query.caller, plan.regions[region].hash), weight);
+        const double score =
+                weightedScore(hashPair(query.caller, plan.regions[region].hash), weight);
         if (score > bestScore) {
             best = region;
             bestScore = score;
@@ -68,8 +68,8 @@
     for (std::size_t region = 0; region < plan.regions.size(); ++region) {
         if (!(allowed & bit(static_cast<RegionId>(region))))
             continue;
-        const double score = weightedScoreAbove(hashPair(query.caller, plan.regions[region].hash),
-                                                1, bestScore);
+        const double score =
+                weightedScoreAbove(hashPair(query.caller, plan.regions[region].hash), 1, bestScore);
         if (score > bestScore) {
             best = static_cast<RegionId>(region);
             bestScore = score;
@@ -123,8 +123,8 @@
     const UnitCapacity own = at(inputs.units, query.service * regionCount + from);
     if (own.overflowShare <= 0)
         return;
-    const double point
-            = unitInterval(hashPair(hashPair(query.caller, plan.regions[from].hash), overflowSeed));
+    const double point =
+            unitInterval(hashPair(hashPair(query.caller, plan.regions[from].hash), overflowSeed));
     if (point >= own.overflowShare)
         return;
     std::uint32_t candidates = usable & ~bit(from);
--- a/chestnutvane/version/rule_parser.cc
+++ b/chestnutvane/version/rule_parser.cc
@@ -224,8 +224,8 @@
 
     std::string readName(const Word &word)
     {
-        constexpr std::string_view allowed
-                = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+        constexpr std::string_view allowed =
+                "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
         if (word.text.empty() || word.text.size() > 64
             || word.text.find_first_not_of(allowed) != std::string_view::npos)
             add(Kind::BadName, word, quoted(word.text) + " is not a name",
@@ -266,8 +266,8 @@
     {
         double number = 0;
         const char *end = word.text.data() + word.text.size();
-        const auto [stop, status]
-                = std::from_chars(word.text.data(), end, number, std::chars_format::fixed);
+        const auto [stop, status] =
+                std::from_chars(word.text.data(), end, number, std::chars_format::fixed);
         const bool valid = status == std::errc() && stop == end && number >= least && number <= most
                 && (!whole || number == std::floor(number));
         if (valid)
@@ -427,8 +427,8 @@
 
     void parseTarget(const RuleLine &line)
     {
-        const auto names
-                = checkShape(line, 1, {"service", "zone", "address", "slots", "connections"});
+        const auto names =
+                checkShape(line, 1, {"service", "zone", "address", "slots", "connections"});
         TargetRule rule;
         rule.name = defineName(names[0], "target", targets_);
         rule.service = referTo(Kind::UnknownService, find(line, "service"));
@@ -519,8 +519,8 @@
         } else if (rule.kind == CapKind::Link) {
             referTo(Kind::UnknownLink, subject);
             if (const auto colon = subject->text.find(':'); colon != std::string_view::npos)
-                rule.subject
-                        = pairOf(subject->text.substr(0, colon), subject->text.substr(colon + 1));
+                rule.subject =
+                        pairOf(subject->text.substr(0, colon), subject->text.substr(colon + 1));
         } else if (subject->text != "all") {
             add(Kind::BadValue, *subject, "shift cannot be " + quoted(subject->text), "use all");
         }
@@ -554,8 +554,8 @@
 
     void parseMove(const RuleLine &line)
     {
-        const auto names = checkShape(
-                line, 1, {"service", "from", "to", "percent", "cap-percent-per-minute"});
+        const auto names =
+                checkShape(line, 1, {"service", "from", "to", "percent", "cap-percent-per-minute"});
         MoveRule rule;
         rule.name = defineName(names[0], "move", moves_);
         rule.service = referTo(Kind::UnknownService, find(line, "service"));
@@ -563,8 +563,8 @@
         rule.to = referTo(Kind::UnknownRegion, find(line, "to"));
         checkEndsDiffer(find(line, "from"), find(line, "to"), "move");
         rule.percent = readNumber(line, "percent", 0, 100, false, 100);
-        rule.capPercentPerMinute
-                = readNumber(line, "cap-percent-per-minute", 0.001, 100, false, 10);
+        rule.capPercentPerMinute =
+                readNumber(line, "cap-percent-per-minute", 0.001, 100, false, 10);
         rules_.moves.push_back(std::move(rule));
     }
 
--- a/chestnutvane/version/rule_parser_test.cc
+++ b/chestnutvane/version/rule_parser_test.cc
@@ -117,8 +117,8 @@
 // equal a scan of all classes for the longest prefix that ends where a segment does.
 RC_GTEST_PROP(ClassMatchTest, EqualsScan, (const std::vector<std::uint8_t> &noise))
 {
-    const std::string paths[]
-            = {"/", "/a", "/a/b", "/ab", "/a/b/c", "/a/bc", "/a//b/", "/ab/c", "/a?x", ""};
+    const std::string paths[] = {"/",     "/a",     "/a/b",  "/ab",  "/a/b/c",
+                                 "/a/bc", "/a//b/", "/ab/c", "/a?x", ""};
     std::vector<RequestClass> classes;
     for (std::size_t i = 0; i < 6; ++i) {
         if (i >= noise.size() || noise[i] % 2 == 0) {
--- /dev/null
+++ b/testing/target_standin.cc
@@ -0,0 +1,240 @@
+// A stand-in for a target: slots, service time, cold start, shedding, drain, lagging or false load
+// reports, crashes on a marked request, and silence on open connections. It records every run.
+//
+// A request carries its demands in its query: "work-ms=N" (time it takes), "size=N" (bytes of the
+// answer), "crash=1" (the process ends at once). The header Vane-Key-Digest, the query value "tag"
+// and the body's digest come back in the answer, so that the sender can tell crossed answers.
+//
+// Control: POST /control with JSON {"silent": bool, "leaving": bool, "load": number or null,
+// "shed": bool, "refuse-after-read": bool}; GET /control/records returns the runs.
+
+#include <fmt/format.h>
+#include <tclap/CmdLine.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <csignal>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+#include "chestnutvane/base/hash.h"
+#include "chestnutvane/connection/http_server.h"
+#include "chestnutvane/process/workers.h"
+
+namespace chestnutvane {
+namespace {
+
+using nlohmann::json;
+
+struct Options
+{
+    std::string address;
+    std::uint16_t port = 0;
+    int slots = 3;
+    Milliseconds coldTime{0};
+    std::string name;
+};
+
+class TargetStandin
+{
+public:
+    explicit TargetStandin(Options options)
+        : options_(std::move(options)),
+          startId_(fmt::format(
+                  "{:016x}",
+                  hash64(options_.name,
+                         static_cast<std::uint64_t>(Clock::now().time_since_epoch().count())))),
+          startedAt_(Clock::now())
+    { }
+
+    void handle(ServerRequest request, Responder respond)
+    {
+        if (request.path == "/health")
+            respond(health());
+        else if (request.path == "/control")
+            respond(control(request.body));
+        else if (request.path == "/control/records")
+            respond(records());
+        else
+            run(std::move(request), std::move(respond));
+    }
+
+private:
+    struct Switches
+    {
+        bool silent = false;
+        bool leaving = false;
+        bool shed = false;
+        std::optional<double> load;
+    };
+
+    static std::string queryValue(const std::string &query, const std::string &name)
+    {
+        const auto at = ("&" + query).find("&" + name + "=");
+        if (at == std::string::npos)
+            return {};
+        const auto begin = at + name.size() + 1;
+        return query.substr(begin, query.find('&', begin) - begin);
+    }
+
+    ServerResponse health()
+    {
+        const std::lock_guard lock(mutex_);
+        const double load = switches_.load.value_or(static_cast<double>(running_) / options_.slots);
+        return {.status = 200,
+                .headers = {{"Vane-Start-Id", startId_}},
+                .body = json{{"load", load}, {"leaving", switches_.leaving}}.dump()};
+    }
+
+    ServerResponse control(const std::string &body)
+    {
+        const auto change = json::parse(body, nullptr, false);
+        if (!change.is_object())
+            return {.status = 400};
+        const std::lock_guard lock(mutex_);
+        switches_.silent = change.value("silent", switches_.silent);
+        switches_.leaving = change.value("leaving", switches_.leaving);
+        switches_.shed = change.value("shed", switches_.shed);
+        if (const auto load = change.find("load"); load != change.end())
+            switches_.load =
+                    load->is_null() ? std::nullopt : std::optional<double>(load->get<double>());
+        return {.status = 204};
+    }
+
+    ServerResponse records()
+    {
+        const std::lock_guard lock(mutex_);
+        return {.status = 200,
+                .body = json{{"name", options_.name},
+                             {"start-id", startId_},
+                             {"runs", runs_},
+                             {"most-running", mostRunning_},
+                             {"above-slots", aboveSlots_},
+                             {"shed", shed_},
+                             {"last-start-ms", lastStartMs_},
+                             {"by-tag", byTag_}}
+                                .dump()};
+    }
+
+    void run(ServerRequest request, Responder respond)
+    {
+        if (queryValue(request.query, "crash") == "1")
+            std::_Exit(3);
+        const auto tag = queryValue(request.query, "tag");
+        Milliseconds work{0};
+        if (const auto text = queryValue(request.query, "work-ms"); !text.empty())
+            work = Milliseconds(std::stol(text));
+        {
+            const std::lock_guard lock(mutex_);
+            if (switches_.shed) {
+                ++shed_;
+                respond({.status = 503, .headers = {{"Vane-Not-Run", "1"}}});
+                return;
+            }
+            ++runs_;
+            ++running_;
+            mostRunning_ = std::max(mostRunning_, running_);
+            if (running_ > options_.slots)
+                ++aboveSlots_;
+            if (!tag.empty())
+                ++byTag_[tag];
+            lastStartMs_ = sinceStart();
+        }
+        if (sinceStart() < options_.coldTime.count())
+            work *= 3; // caches are cold
+        workers_.after(work,
+                       [this, request = std::move(request), respond = std::move(respond), tag] {
+                           end(request, respond, tag);
+                       });
+    }
+
+    void end(const ServerRequest &request, const Responder &respond, const std::string &tag)
+    {
+        bool silent = false;
+        {
+            const std::lock_guard lock(mutex_);
+            --running_;
+            silent = switches_.silent;
+        }
+        if (silent)
+            return; // the connection stays open without an answer
+        std::size_t size = 0;
+        if (const auto text = queryValue(request.query, "size"); !text.empty())
+            size = std::stoul(text);
+        std::vector<HttpHeader> headers{
+                {"Answer-Tag", tag},
+                {"Answer-Target", options_.name},
+                {"Answer-Body-Digest", fmt::format("{:016x}", hash64(request.body))}};
+        if (const auto *id = findHeader(request.headers, "Vane-Request-Id"))
+            headers.push_back({"Vane-Request-Id", *id});
+        std::string body = tag;
+        body.resize(std::max(size, tag.size()), '.');
+        respond({.status = 200, .headers = std::move(headers), .body = std::move(body)});
+    }
+
+    std::int64_t sinceStart() const
+    {
+        return std::chrono::duration_cast<Milliseconds>(Clock::now() - startedAt_).count();
+    }
+
+    const Options options_;
+    const std::string startId_;
+    const TimePoint startedAt_;
+    Workers workers_{2};
+    std::mutex mutex_; // guards all below
+    Switches switches_;
+    int running_ = 0;
+    int mostRunning_ = 0;
+    std::uint64_t runs_ = 0;
+    std::uint64_t aboveSlots_ = 0;
+    std::uint64_t shed_ = 0;
+    std::int64_t lastStartMs_ = 0;
+    std::map<std::string, int> byTag_;
+};
+
+Options parseOptions(int argc, char **argv)
+{
+    TCLAP::CmdLine command("A stand-in for a target", ' ', "1");
+    const TCLAP::ValueArg<std::string> address("", "address", "IP address", false, "127.0.0.1",
+                                               "IP", command);
+    const TCLAP::ValueArg<int> port("", "port", "Port", true, 0, "port", command);
+    const TCLAP::ValueArg<int> slots("", "slots", "Slots", false, 3, "count", command);
+    const TCLAP::ValueArg<int> cold("", "cold-ms", "Time with cold caches after the start", false,
+                                    0, "ms", command);
+    const TCLAP::ValueArg<std::string> name("", "name", "Name", false, "target", "name", command);
+    command.parse(argc, argv);
+    return {address.getValue(), static_cast<std::uint16_t>(port.getValue()), slots.getValue(),
+            Milliseconds(cold.getValue()), name.getValue()};
+}
+
+int serve(const Options &options)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    TargetStandin target(options);
+    auto server =
+            HttpServer::create({.address = options.address, .port = options.port, .threads = 1},
+                               [&target](ServerRequest request, Responder respond) {
+                                   target.handle(std::move(request), std::move(respond));
+                               });
+    if (!isOk(server)) {
+        std::cerr << "target_standin: " << error(server).detail << "\n";
+        return 1;
+    }
+    int received = 0;
+    sigwait(&signals, &received);
+    return 0;
+}
+
+} // namespace
+} // namespace chestnutvane
+
+int main(int argc, char **argv)
+{
+    return chestnutvane::serve(chestnutvane::parseOptions(argc, argv));
+}
