--- a/chestnutvane/process/slot_policy_model.cc
+++ b/chestnutvane/process/slot_policy_model.cc
@@ -265,6 +265,7 @@
     {
         const ModelSettings &settings = model_.settings();
         std::vector<BrokerTarget> targets;
+        targets.reserve(static_cast<std::size_t>(settings.targets));
         for (int i = 0; i < settings.targets; ++i)
             targets.push_back({static_cast<TargetId>(i), settings.slots, false, false});
         BrokerEffects none;
