--- a/chestnutvane/process/http_store.cc
+++ b/chestnutvane/process/http_store.cc
@@ -26,8 +26,8 @@
 std::string urlEncode(std::string_view text)
 {
     constexpr std::string_view hex = "0123456789ABCDEF";
-    constexpr std::string_view unreserved
-            = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+    constexpr std::string_view unreserved =
+            "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
     std::string result;
     for (const char byte : text) {
         if (unreserved.find(byte) != std::string_view::npos) {
