--- a/chestnutvane/process/broker_service.cc
+++ b/chestnutvane/process/broker_service.cc
@@ -16,7 +16,6 @@
 constexpr Milliseconds rebuildInterval{200};
 constexpr Milliseconds probeInterval{500};
 constexpr Milliseconds probeTimeout{400};
-constexpr Milliseconds watchTime{10'000};
 constexpr Milliseconds watchPause{500}; // after a failed watch, so that an outage is not hammered
 constexpr Milliseconds peerTimeout{1000};
 
@@ -49,10 +48,9 @@
 
 void BrokerService::watchRoles(std::uint64_t afterVersion)
 {
-    instance_.store.watch(
-            std::string(internal::rolePrefix), afterVersion, internal::watchTime,
+    instance_.watchStore(
+            std::string(internal::rolePrefix), afterVersion,
             [this, afterVersion](Result<WatchResult, StoreError> result) {
-                instance_.noteStoreCall(isStoreAnswer(result), Clock::now());
                 if (!isOk(result)) {
                     instance_.workers->after(internal::watchPause,
                                              [this, afterVersion] { watchRoles(afterVersion); });
@@ -75,24 +73,24 @@
 
 void BrokerService::watchLeases(std::uint64_t afterVersion)
 {
-    instance_.store.watch(std::string(internal::leasePrefix), afterVersion, internal::watchTime,
-                          [this, afterVersion](Result<WatchResult, StoreError> result) {
-                              instance_.noteStoreCall(isStoreAnswer(result), Clock::now());
-                              if (!isOk(result)) {
-                                  instance_.workers->after(
-                                          internal::watchPause,
-                                          [this, afterVersion] { watchLeases(afterVersion); });
-                                  return;
-                              }
-                              state_.use([&](State &state) {
-                                  state.leasesKnown = true;
-                                  state.leasedIncarnations.clear();
-                                  for (const auto &entry : value(result).entries)
-                                      state.leasedIncarnations.insert(entry.value);
-                              });
-                              instance_.workers->post(
-                                      [this, next = value(result).version] { watchLeases(next); });
-                          });
+    instance_.watchStore(std::string(internal::leasePrefix), afterVersion,
+                         [this, afterVersion](Result<WatchResult, StoreError> result) {
+                             instance_.noteStoreCall(isStoreAnswer(result), Clock::now());
+                             if (!isOk(result)) {
+                                 instance_.workers->after(
+                                         internal::watchPause,
+                                         [this, afterVersion] { watchLeases(afterVersion); });
+                                 return;
+                             }
+                             state_.use([&](State &state) {
+                                 state.leasesKnown = true;
+                                 state.leasedIncarnations.clear();
+                                 for (const auto &entry : value(result).entries)
+                                     state.leasedIncarnations.insert(entry.value);
+                             });
+                             instance_.workers->post(
+                                     [this, next = value(result).version] { watchLeases(next); });
+                         });
 }
 
 void BrokerService::decideRoles()
@@ -157,7 +155,7 @@
                         formatIncarnation(record.incarnation.high, record.incarnation.low);
                 input.holderLeaseGone = !state.leasedIncarnations.contains(incarnation);
             }
-            decideRole(state, unit, input, now, answers, writes);
+            decideRole(state, unit, *version, input, now, answers, writes);
             if (unit.broker)
                 refreshTargets(state, unit, *version, now, answers);
             holdsAny |= unit.broker.has_value();
@@ -171,8 +169,8 @@
         writeRole(std::move(write));
 }
 
-void BrokerService::decideRole(State &state, Unit &unit, RoleInput input, TimePoint now,
-                               Answers &answers, std::vector<CompareAndSwap> &writes)
+void BrokerService::decideRole(State &state, Unit &unit, const Version &version, RoleInput input,
+                               TimePoint now, Answers &answers, std::vector<CompareAndSwap> &writes)
 {
     input.unit = unitIdOf(unit.service, unit.region);
     input.entry = unit.entry;
@@ -185,7 +183,7 @@
     const auto decision = decideBrokerRole(input, now);
     if (decision.action == RoleAction::Keep) {
         if (!unit.broker)
-            openBroker(state, unit, decision, input.members, now, answers);
+            openBroker(state, unit, version, decision, input.members, now, answers);
         unit.broker->setAuthority(decision.grantUntil);
         return;
     }
@@ -224,14 +222,14 @@
             });
 }
 
-void BrokerService::openBroker(State &state, Unit &unit, const RoleDecision &decision,
-                               std::span<const RoleMember> members, TimePoint now, Answers &answers)
+void BrokerService::openBroker(State &state, Unit &unit, const Version &version,
+                               const RoleDecision &decision, std::span<const RoleMember> members,
+                               TimePoint now, Answers &answers)
 {
-    const auto version = instance_.version();
     unit.broker = SlotBroker(decision.record.epoch, {.warmStart = decision.record.epoch > 1});
     unit.rebuilding = true;
     unit.targetsRevision = 0;
-    refreshTargets(state, unit, *version, now, answers);
+    refreshTargets(state, unit, version, now, answers);
     std::set<HolderId> holders;
     for (const auto &member : members)
         holders.insert(member.incarnation);
--- a/chestnutvane/process/broker_service.h
+++ b/chestnutvane/process/broker_service.h
@@ -105,10 +105,10 @@
     void watchRoles(std::uint64_t afterVersion);
     void watchLeases(std::uint64_t afterVersion);
     void decideRoles();
-    void decideRole(State &state, Unit &unit, RoleInput input, TimePoint now, Answers &answers,
-                    std::vector<CompareAndSwap> &writes);
+    void decideRole(State &state, Unit &unit, const Version &version, RoleInput input,
+                    TimePoint now, Answers &answers, std::vector<CompareAndSwap> &writes);
     void writeRole(CompareAndSwap write);
-    void openBroker(State &state, Unit &unit, const RoleDecision &decision,
+    void openBroker(State &state, Unit &unit, const Version &version, const RoleDecision &decision,
                     std::span<const RoleMember> members, TimePoint now, Answers &answers);
     static void closeBroker(Unit &unit, Answers &answers);
     void refreshTargets(State &state, Unit &unit, const Version &version, TimePoint now,
--- a/chestnutvane/process/config_service.cc
+++ b/chestnutvane/process/config_service.cc
@@ -6,7 +6,6 @@
 namespace internal {
 namespace {
 
-constexpr Milliseconds watchTime{10'000};
 constexpr Milliseconds watchPause{300};
 constexpr Milliseconds fetchTimeout{1000};
 constexpr Milliseconds readinessInterval{100};
@@ -30,10 +29,9 @@
 
 void ConfigService::watch(std::uint64_t afterVersion)
 {
-    instance_.store.watch(
-            std::string(configHeadKey), afterVersion, internal::watchTime,
+    instance_.watchStore(
+            std::string(configHeadKey), afterVersion,
             [this, afterVersion](Result<WatchResult, StoreError> result) {
-                instance_.noteStoreCall(isStoreAnswer(result), Clock::now());
                 if (!isOk(result)) {
                     instance_.workers->after(internal::watchPause,
                                              [this, afterVersion] { watch(afterVersion); });
--- a/chestnutvane/process/instance.cc
+++ b/chestnutvane/process/instance.cc
@@ -20,6 +20,20 @@
     return current ? regionOfZone(*current, settings.zone) : std::string();
 }
 
+void Instance::watchStore(const std::string &prefix, std::uint64_t afterVersion,
+                          std::function<void(Result<WatchResult, StoreError>)> callback)
+{
+    constexpr Milliseconds longestWait{10'000};
+    auto noted = [this, callback = std::move(callback)](Result<WatchResult, StoreError> result) {
+        noteStoreCall(isStoreAnswer(result), Clock::now());
+        callback(std::move(result));
+    };
+    if (afterVersion == 0)
+        store.list(prefix, std::move(noted));
+    else
+        store.watch(prefix, afterVersion, longestWait, std::move(noted));
+}
+
 void Instance::noteStoreCall(bool answered, TimePoint now)
 {
     metrics.increment("vane_store_calls_total", {{"answered", answered ? "yes" : "no"}});
