Steer by moves, headroom and links; stop a hot loop of role writes

Cause: look-ups knew no progress of moves and no headroom. With the store gone, a leaving broker wrote its role again at once after each failure: several thousand failed writes a second until the process ended.

A failed role write waits for the 250 ms timer. A separate backoff was ruled out, because the timer already bounds the rate.

Role writes during an outage: before, a loop without a pause; after, at most 4 a second for each unit.

--- a/chestnutvane/process/broker_service.cc
+++ b/chestnutvane/process/broker_service.cc
@@ -43,7 +43,7 @@
 void BrokerService::give(Answers &answers)
 {
     for (auto &[callback, answer] : answers)
-        callback(std::move(answer));
+        callback(answer);
 }
 
 void BrokerService::watchRoles(std::uint64_t afterVersion)
@@ -214,11 +214,13 @@
                             state.entries[key] = {value(result), value(decodeBrokerRecord(text))};
                     }
                 });
-                if (!isOk(result))
+                // A failed write is tried again by the timer, so that an outage is not hammered.
+                if (isOk(result))
+                    instance_.workers->post([this] { decideRoles(); });
+                else
                     logEvent(Event::RoleWriteFailed,
                              {{"key", key},
                               {"failure", enumName(storeFailureNames, error(result).failure)}});
-                instance_.workers->post([this] { decideRoles(); });
             });
 }
 
@@ -284,7 +286,7 @@
         const auto entry = unit.waiting.find({holder, sequence});
         if (entry == unit.waiting.end())
             return;
-        answers.emplace_back(std::move(entry->second), std::move(content));
+        answers.emplace_back(std::move(entry->second), content);
         unit.waiting.erase(entry);
     };
     for (const auto &effect : effects) {
--- a/chestnutvane/process/caller_service.cc
+++ b/chestnutvane/process/caller_service.cc
@@ -107,8 +107,9 @@
 } // namespace internal
 
 CallerService::CallerService(Instance &instance, LookUpService &lookUps, GrantService &grants,
-                             MemberService &members)
-    : instance_(instance), lookUps_(lookUps), grants_(grants), members_(members)
+                             MemberService &members, SteeringService &steering)
+    : instance_(instance), lookUps_(lookUps), grants_(grants), members_(members),
+      steering_(steering)
 { }
 
 void CallerService::handle(ServerRequest request, Responder respond)
@@ -435,21 +436,19 @@
     services.now = [] { return Clock::now(); };
     services.askGrant = [this, call](GrantWish wish, std::function<void(GrantReply)> reply) {
         const auto region = wish.region;
-        grants_.ask(std::move(wish), [call, region, reply = std::move(reply)](GrantReply result) {
-            if (const auto *slot = std::get_if<HeldSlot>(&result); slot && isSampled(call->number))
-                logEvent(Event::RequestRouted,
-                         {{"request", call->number},
-                          {"revision", call->version->revision},
-                          {"class", call->requestClass.name},
-                          {"region", region},
-                          {"target", slot->targetName},
-                          {"epoch", slot->id.epoch},
-                          {"reason", "granted-by-broker"}});
-            reply(std::move(result));
-        });
+        grants_.ask(std::move(wish),
+                    [this, call, region, reply = std::move(reply)](GrantReply result) {
+                        if (const auto *slot = std::get_if<HeldSlot>(&result))
+                            noteGrant(*call, *slot, region);
+                        else
+                            steering_.onRefused(call->requestClass.service, region);
+                        reply(std::move(result));
+                    });
     };
-    services.release = [this](const HeldSlot &slot, GrantResult result, Duration serviceTime) {
+    services.release = [this, call](const HeldSlot &slot, GrantResult result,
+                                    Duration serviceTime) {
         grants_.release(slot, result, serviceTime);
+        noteRelease(*call, slot, result, serviceTime);
     };
     services.send = [this](HttpRequest request, std::function<void(ExchangeResult)> done) {
         request.maxResponseBytes = instance_.settings.maxBodyBytes;
@@ -484,6 +483,41 @@
     return services;
 }
 
+void CallerService::noteGrant(const Call &call, const HeldSlot &slot, const std::string &region)
+{
+    const auto own = instance_.region();
+    if (region != own)
+        steering_.onLinkBytes(own, region, call.body->size());
+    instance_.configuration.use([&](ConfigurationState &state) {
+        state.drains.workStarted(slot.targetName, Clock::now());
+    });
+    if (isSampled(call.number))
+        logEvent(Event::RequestRouted,
+                 {{"request", call.number},
+                  {"revision", call.version->revision},
+                  {"class", call.requestClass.name},
+                  {"region", region},
+                  {"target", slot.targetName},
+                  {"epoch", slot.id.epoch},
+                  {"reason", "granted-by-broker"}});
+}
+
+void CallerService::noteRelease(const Call &call, const HeldSlot &slot, GrantResult result,
+                                Duration serviceTime)
+{
+    instance_.configuration.use([&](ConfigurationState &state) {
+        state.drains.workEnded(slot.targetName, Clock::now());
+    });
+    const auto target = call.version->targets.find(slot.target);
+    if (target == call.version->targets.end())
+        return;
+    const auto region = regionOfZone(*call.version, target->second.zone);
+    if (result == GrantResult::Succeeded)
+        steering_.onServed(call.requestClass.service, region, serviceTime);
+    else if (result == GrantResult::Shed)
+        steering_.onRefused(call.requestClass.service, region);
+}
+
 void CallerService::probe(const HeldSlot &slot, std::function<void(bool)> done)
 {
     logEvent(Event::ConnectionSilent, {{"target", slot.targetName}});
--- a/chestnutvane/process/caller_service.h
+++ b/chestnutvane/process/caller_service.h
@@ -22,6 +22,7 @@
 #include "chestnutvane/process/instance.h"
 #include "chestnutvane/process/look_up_service.h"
 #include "chestnutvane/process/member_service.h"
+#include "chestnutvane/process/steering_service.h"
 #include "chestnutvane/request/request_flow.h"
 
 namespace chestnutvane {
@@ -30,7 +31,7 @@
 {
 public:
     CallerService(Instance &instance, LookUpService &lookUps, GrantService &grants,
-                  MemberService &members);
+                  MemberService &members, SteeringService &steering);
 
     // Handles a request of a caller.
     void handle(ServerRequest request, Responder respond);
@@ -70,6 +71,9 @@
     makeServices(const std::shared_ptr<Call> &call,
                  std::function<bool(const RequestClass &, const AttemptHistory &, Duration)> retry);
     void conclude(const std::shared_ptr<Call> &call, const OnceResult &result);
+    void noteGrant(const Call &call, const HeldSlot &slot, const std::string &region);
+    void noteRelease(const Call &call, const HeldSlot &slot, GrantResult result,
+                     Duration serviceTime);
     void probe(const HeldSlot &slot, std::function<void(bool)> done);
     ServerResponse toResponse(ForwardAnswer answer) const;
     void logEnd(const Call &call, const ForwardAnswer &answer);
@@ -78,6 +82,7 @@
     LookUpService &lookUps_;
     GrantService &grants_;
     MemberService &members_;
+    SteeringService &steering_;
     std::atomic<std::uint64_t> nextNumber_{1};
     std::atomic<OnceWaiter> nextWaiter_{1};
     std::atomic<int> inFlight_{0};
--- a/chestnutvane/process/config_service.cc
+++ b/chestnutvane/process/config_service.cc
@@ -66,8 +66,10 @@
     }
     const auto outcome = instance_.configuration.use([&](ConfigurationState &state) {
         const auto verdict = state.holder.offer(head, source);
-        if (verdict == ConfigOffer::Adopted)
+        if (verdict == ConfigOffer::Adopted) {
             state.version = value(compiled);
+            state.drains.setRules(state.version->rules, Clock::now());
+        }
         return verdict;
     });
     if (outcome == ConfigOffer::Adopted)
--- a/chestnutvane/process/daemon.cc
+++ b/chestnutvane/process/daemon.cc
@@ -13,6 +13,7 @@
 #include "chestnutvane/process/look_up_service.h"
 #include "chestnutvane/process/member_service.h"
 #include "chestnutvane/process/operator_service.h"
+#include "chestnutvane/process/steering_service.h"
 
 namespace chestnutvane {
 namespace internal {
@@ -61,8 +62,9 @@
     GrantService grants{instance, brokers};
     MemberService members{instance, brokers, grants};
     ConfigService configuration{instance};
-    LookUpService lookUps{instance, brokers};
-    CallerService callers{instance, lookUps, grants, members};
+    LookUpService lookUps{instance};
+    SteeringService steering{instance};
+    CallerService callers{instance, lookUps, grants, members, steering};
     OperatorService operators{instance, brokers, configuration, lookUps, callers};
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> operatorServer;
@@ -181,6 +183,7 @@
     impl->configuration.start();
     impl->brokers.start();
     impl->members.start();
+    impl->steering.start();
     impl->lookUps.start();
     auto callerServer =
             HttpServer::create({.address = settings.address,
@@ -207,16 +210,15 @@
     impl_->members.beginLeaving();
     std::this_thread::sleep_for(instance.settings.lookUpTtl + internal::lookUpMargin);
 
-    std::promise<void> rolesGivenUp;
-    impl_->brokers.giveUpAll([&rolesGivenUp] { rolesGivenUp.set_value(); });
-    auto givenUp = rolesGivenUp.get_future();
-    givenUp.wait_for(internal::storeGrace);
+    const auto rolesGivenUp = std::make_shared<std::promise<void>>();
+    impl_->brokers.giveUpAll([rolesGivenUp] { rolesGivenUp->set_value(); });
+    rolesGivenUp->get_future().wait_for(internal::storeGrace);
 
     const auto giveUpAt = Clock::now() + internal::longestDrain;
     while (impl_->callers.inFlight() > 0 && Clock::now() < giveUpAt)
         std::this_thread::sleep_for(internal::drainPoll);
 
-    auto leaseEnded = std::make_shared<std::promise<void>>();
+    const auto leaseEnded = std::make_shared<std::promise<void>>();
     auto ended = leaseEnded->get_future();
     impl_->members.endLease([leaseEnded] { leaseEnded->set_value(); });
     ended.wait_for(internal::storeGrace);
--- a/chestnutvane/process/instance.h
+++ b/chestnutvane/process/instance.h
@@ -15,8 +15,10 @@
 #include "chestnutvane/connection/http_client.h"
 #include "chestnutvane/connection/peer_link.h"
 #include "chestnutvane/process/config_holder.h"
+#include "chestnutvane/process/drain_state.h"
 #include "chestnutvane/process/grant_holder.h"
 #include "chestnutvane/process/guarded.h"
+#include "chestnutvane/process/headroom.h"
 #include "chestnutvane/process/http_store.h"
 #include "chestnutvane/process/isolation.h"
 #include "chestnutvane/process/membership.h"
@@ -31,6 +33,16 @@
 
 namespace chestnutvane {
 
+// Service times of one unit as this instance saw them.
+struct UnitLatency
+{
+    // The time constants follow from the rule: the last step interval beside the long-term mean.
+    DecayingSum recentMs{Milliseconds(5000)};
+    DecayingSum recentCount{Milliseconds(5000)};
+    DecayingSum longMs{Milliseconds(300'000)};
+    DecayingSum longCount{Milliseconds(300'000)};
+};
+
 // Contacts with the store and the own lease there.
 struct StoreContact
 {
@@ -51,6 +63,10 @@
 
     MembershipTable table;
     MoveProgress moves;
+    bool movesRead = false; // the store's moves were read since the start
+    HeadroomTable headroom;
+    LinkUseTable links;
+    std::map<std::pair<std::string, std::string>, UnitLatency> latencies; // by service, region
     StoreContact store;
     bool everKnewPeer = false;
     bool isolated = false;
@@ -66,6 +82,7 @@
     std::shared_ptr<const Version> version; // null until a revision was compiled
     bool storeRead = false;
     bool ready = false;
+    DrainState drains;
 };
 
 struct Instance
--- a/chestnutvane/process/look_up_service.cc
+++ b/chestnutvane/process/look_up_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "chestnutvane/process/log.h"
+#include "chestnutvane/process/steering_service.h"
 
 namespace chestnutvane {
 namespace internal {
@@ -35,12 +36,31 @@
     }
 }
 
+void addCapacities(RoutingSnapshot &snapshot, const MembershipState &state, TimePoint now)
+{
+    const auto &version = *snapshot.version;
+    for (const auto &service : version.plan.services) {
+        for (const auto &region : version.plan.regions) {
+            double slots = 0;
+            for (const auto &target : targetsOfUnit(version, service, region.name))
+                slots += isDrained(version, target) ? 0 : target.slots;
+            snapshot.units.push_back(
+                    {.headroom = state.headroom.headroom(service, region.name, now),
+                     .overflowShare = state.headroom.overflowShare(service, region.name, now),
+                     .slots = slots});
+        }
+    }
+    for (const auto &from : version.plan.regions) {
+        for (const auto &to : version.plan.regions)
+            snapshot.linkShare.push_back(
+                    freeLinkShare(version, state.links, from.name, to.name, now));
+    }
+}
+
 } // namespace
 } // namespace internal
 
-LookUpService::LookUpService(Instance &instance, BrokerService &brokers)
-    : instance_(instance), brokers_(brokers)
-{ }
+LookUpService::LookUpService(Instance &instance) : instance_(instance) { }
 
 void LookUpService::start()
 {
@@ -70,6 +90,7 @@
         });
         for (const auto &move : next->version->rules.moves)
             next->moveProgress.push_back(state.moves.adopted(move.name, now));
+        internal::addCapacities(*next, state, now);
     });
     next->table = makeEntryTable(next->instances, next->version->plan.regions.size());
     snapshot_.store(std::move(next));
--- a/chestnutvane/process/look_up_service.h
+++ b/chestnutvane/process/look_up_service.h
@@ -16,7 +16,6 @@
 #include <vector>
 
 #include "chestnutvane/base/result.h"
-#include "chestnutvane/process/broker_service.h"
 #include "chestnutvane/process/instance.h"
 #include "chestnutvane/request/outcome.h"
 #include "chestnutvane/version/entry_choice.h"
@@ -56,7 +55,7 @@
 class LookUpService
 {
 public:
-    LookUpService(Instance &instance, BrokerService &brokers);
+    explicit LookUpService(Instance &instance);
 
     // Starts the timer that refreshes the snapshot.
     void start();
@@ -75,7 +74,6 @@
     std::shared_ptr<const RoutingSnapshot> snapshot();
 
     Instance &instance_;
-    BrokerService &brokers_;
     std::atomic<std::shared_ptr<const RoutingSnapshot>> snapshot_;
 };
 
--- a/chestnutvane/process/member_service.cc
+++ b/chestnutvane/process/member_service.cc
@@ -1,6 +1,7 @@
 #include "chestnutvane/process/member_service.h"
 
 #include "chestnutvane/process/log.h"
+#include "chestnutvane/process/steering_service.h"
 
 namespace chestnutvane {
 namespace internal {
@@ -12,6 +13,21 @@
 // paused.
 constexpr int stallPeriods = 2;
 
+std::vector<MoveReport> moveReports(const MoveProgress &moves, const Version *version)
+{
+    std::vector<MoveReport> reports;
+    if (version == nullptr)
+        return reports;
+    for (const auto &move : version->rules.moves) {
+        if (const auto seen = moves.seen(move.name))
+            reports.push_back({.move = move.name,
+                               .seenStep = seen->step,
+                               .seenProgress = seen->progress,
+                               .adoptedStep = moves.adoptedStep(move.name)});
+    }
+    return reports;
+}
+
 } // namespace
 } // namespace internal
 
@@ -42,10 +58,14 @@
     const auto units = brokers_.heldUnits();
     const auto headroom = brokers_.headroom();
     const auto crashes = brokers_.crashCounts();
-    const auto [revision, ready] = instance_.configuration.use([](ConfigurationState &state) {
-        return std::pair(state.holder.head().revision, state.ready);
+    std::uint64_t revision = 0;
+    bool ready = false;
+    instance_.configuration.use([&](ConfigurationState &state) {
+        revision = state.holder.head().revision;
+        ready = state.ready;
     });
     const auto now = Clock::now();
+    const auto version = instance_.version();
     const auto keyWindow = instance_.once.use([&](OnceTable &once) {
         once.prefix(now); // opens a new window when its time has come
         return once.window();
@@ -55,6 +75,8 @@
         record.keyWindow = keyWindow;
         record.brokers = units;
         record.headroom = headroom;
+        takeHeadroomReports(state.headroom, record, now);
+        record.moves = internal::moveReports(state.moves, version.get());
         record.crashCounts = crashes;
         record.revision = revision;
         record.state = state.leaving       ? MemberState::Leaving
@@ -82,8 +104,9 @@
                 messages.emplace_back(target.peerAddress, state.table.makeHeartbeat(target, now));
         }
     });
-    for (const auto &[address, heartbeat] : messages) {
-        auto body = encodeHeartbeat(heartbeat);
+    for (const auto &message : messages) {
+        const auto &address = message.first;
+        auto body = encodeHeartbeat(message.second);
         instance_.metrics.increment("vane_heartbeat_bytes_total", {},
                                     static_cast<double>(body.size()));
         instance_.peers->call(address, "heartbeat", std::move(body), internal::heartbeatTimeout,
@@ -122,6 +145,9 @@
     brokers_.mergeCrashCounts(crashes);
     const auto result = instance_.membership.use([&](MembershipState &state) {
         state.everKnewPeer = true;
+        takeHeadroomReports(state.headroom, heartbeat.sender, Clock::now());
+        for (const auto &relayed : heartbeat.relayed)
+            takeHeadroomReports(state.headroom, relayed.record, Clock::now() - relayed.age);
         for (const auto &move : heartbeat.sender.moves)
             state.moves.observe(move.move, {move.seenProgress, move.seenStep}, 0, Clock::now());
         return state.table.receive(heartbeat, Clock::now());
@@ -155,12 +181,13 @@
     const auto now = Clock::now();
     const IsolationLimits limits{.isolatedAfter = instance_.settings.isolationLimit,
                                  .leaseTtl = instance_.settings.leaseTtl};
-    const auto [isolated, changed] = instance_.membership.use([&](MembershipState &state) {
+    bool changed = false;
+    const bool isolated = instance_.membership.use([&](MembershipState &state) {
         const bool cutOff =
                 chestnutvane::mayTakeWork(contactView(state, now), limits) == WorkVerdict::Isolated;
-        const bool different = cutOff != state.isolated;
+        changed = cutOff != state.isolated;
         state.isolated = cutOff;
-        return std::pair(cutOff, different);
+        return cutOff;
     });
     if (changed)
         logEvent(isolated ? Event::Isolated : Event::ContactRegained, {});
--- a/chestnutvane/process/operator_service.cc
+++ b/chestnutvane/process/operator_service.cc
@@ -87,6 +87,13 @@
     instance_.configuration.use([&](ConfigurationState &state) {
         instance_.metrics.set("vane_revision", {},
                               static_cast<double>(state.holder.head().revision));
+        if (!state.version)
+            return;
+        for (const auto &target : state.version->rules.targets) {
+            if (const auto time = state.drains.drainTime(target.name))
+                instance_.metrics.set("vane_drain_seconds", {{"target", target.name}},
+                                      std::chrono::duration<double>(*time).count());
+        }
     });
     respond(internal::textResponse(200, instance_.metrics.exposition()));
 }
--- /dev/null
+++ b/chestnutvane/process/steering_service.cc
@@ -0,0 +1,228 @@
+#include "chestnutvane/process/steering_service.h"
+
+#include <algorithm>
+
+#include "chestnutvane/process/log.h"
+
+namespace chestnutvane {
+namespace internal {
+namespace {
+
+constexpr std::string_view movePrefix = "move/";
+constexpr Milliseconds stepTimer{500};
+constexpr Milliseconds watchPause{500};
+
+const LinkRule *findLink(const Version &version, const std::string &a, const std::string &b)
+{
+    for (const auto &link : version.rules.links) {
+        if ((link.from == a && link.to == b) || (link.from == b && link.to == a))
+            return &link;
+    }
+    return nullptr;
+}
+
+// Share of a link's capacity that steering may fill.
+double linkCap(const Version &version, const std::string &a, const std::string &b)
+{
+    for (const auto &cap : version.rules.caps) {
+        if (cap.kind == CapKind::Link && (cap.subject == a + ":" + b || cap.subject == b + ":" + a))
+            return cap.percent / 100;
+    }
+    return 1;
+}
+
+double linkUse(const Version &version, const LinkUseTable &links, const std::string &from,
+               const std::string &to, TimePoint now)
+{
+    const auto *link = findLink(version, from, to);
+    return link == nullptr ? 0 : links.mbps(from, to, now) / link->capacityMbps;
+}
+
+double shiftCap(const Version &version)
+{
+    for (const auto &cap : version.rules.caps) {
+        if (cap.kind == CapKind::Shift)
+            return cap.percent;
+    }
+    return 100;
+}
+
+double mean(const DecayingSum &sum, const DecayingSum &count, TimePoint now)
+{
+    constexpr double fewest = 1e-6; // below it nothing was measured
+    const double number = count.sum(now);
+    return number < fewest ? 0 : sum.sum(now) / number;
+}
+
+} // namespace
+} // namespace internal
+
+SteeringService::SteeringService(Instance &instance) : instance_(instance) { }
+
+void SteeringService::start()
+{
+    watchMoves(0);
+    instance_.workers->every(internal::stepTimer, [this] { stepMoves(); });
+}
+
+void SteeringService::watchMoves(std::uint64_t afterVersion)
+{
+    instance_.watchStore(
+            std::string(internal::movePrefix), afterVersion,
+            [this, afterVersion](Result<WatchResult, StoreError> result) {
+                if (!isOk(result)) {
+                    instance_.workers->after(internal::watchPause,
+                                             [this, afterVersion] { watchMoves(afterVersion); });
+                    return;
+                }
+                const auto now = Clock::now();
+                instance_.membership.use([&](MembershipState &state) {
+                    state.movesRead = true;
+                    for (const auto &entry : value(result).entries) {
+                        const auto name = entry.key.substr(internal::movePrefix.size());
+                        if (const auto seen = decodeMoveValue(entry.value); isOk(seen))
+                            state.moves.observe(name, value(seen), entry.version, now);
+                    }
+                });
+                instance_.workers->post([this, next = value(result).version] { watchMoves(next); });
+            });
+}
+
+MoveConditions SteeringService::conditions(const MembershipState &state, const Version &version,
+                                           const MoveRule &move, TimePoint now)
+{
+    MoveConditions found;
+    found.storeReachable = state.store.reachable;
+    found.destinationDrained = !hasTargets(version, move.service, move.to);
+    found.headroom = state.headroom.headroom(move.service, move.to, now);
+    if (const auto latency = state.latencies.find({move.service, move.to});
+        latency != state.latencies.end()) {
+        const auto &unit = latency->second;
+        found.recentLatencyMs = internal::mean(unit.recentMs, unit.recentCount, now);
+        found.longTermLatencyMs = internal::mean(unit.longMs, unit.longCount, now);
+    }
+    found.linkUse = internal::linkUse(version, state.links, move.from, move.to, now);
+    found.linkCap = internal::linkCap(version, move.from, move.to);
+    found.shiftCapPercent = internal::shiftCap(version);
+    found.activeMoves = std::max<int>(1, static_cast<int>(version.rules.moves.size()));
+    for (const auto &member : state.table.members(now)) {
+        const bool self = member.record.id == state.table.self().id;
+        if (!self && member.status != MemberStatus::Serving
+            && member.status != MemberStatus::Silent)
+            continue;
+        std::uint64_t step = self ? state.moves.adoptedStep(move.name) : 0;
+        for (const auto &report : member.record.moves) {
+            if (!self && report.move == move.name)
+                step = report.adoptedStep;
+        }
+        found.lowestAdoptedStep = std::min(found.lowestAdoptedStep.value_or(step), step);
+    }
+    return found;
+}
+
+void SteeringService::stepMoves()
+{
+    const auto version = instance_.version();
+    if (!version)
+        return;
+    const auto now = Clock::now();
+    const auto region = regionOfZone(*version, instance_.settings.zone);
+    std::vector<std::pair<std::string, StepDecision>> decisions;
+    instance_.membership.use([&](MembershipState &state) {
+        if (!state.movesRead)
+            return;
+        state.moves.keepOnly([&](const std::string &name) {
+            return std::any_of(version->rules.moves.begin(), version->rules.moves.end(),
+                               [&](const MoveRule &move) { return move.name == name; });
+        });
+        for (const auto &move : version->rules.moves) {
+            if (!state.moves.seen(move.name))
+                state.moves.observe(move.name, MoveValue{}, 0, now);
+            state.moves.adopted(move.name, now);
+            if (move.to == region)
+                decisions.emplace_back(move.name,
+                                       state.moves.nextStep(move.name, move,
+                                                            conditions(state, *version, move, now),
+                                                            now));
+        }
+    });
+    for (const auto &[move, decision] : decisions) {
+        if (decision.wait == MoveWait::None) {
+            writeStep(move, decision);
+        } else if (lastWait_[move] != decision.wait) {
+            lastWait_[move] = decision.wait;
+            logEvent(Event::MoveWaiting,
+                     {{"move", move}, {"reason", enumName(moveWaitNames, decision.wait)}});
+        }
+    }
+}
+
+void SteeringService::writeStep(const std::string &move, const StepDecision &decision)
+{
+    instance_.store.compareAndSwap(
+            {.key = moveKey(move),
+             .expectedVersion = decision.expectedVersion,
+             .value = encodeMoveValue(decision.next)},
+            [this, move, next = decision.next](Result<std::uint64_t, StoreError> result) {
+                instance_.noteStoreCall(isStoreAnswer(result), Clock::now());
+                if (!isOk(result))
+                    return; // another instance took the step; the watch shows it
+                instance_.membership.use([&](MembershipState &state) {
+                    state.moves.observe(move, next, value(result), Clock::now());
+                });
+                logEvent(Event::MoveStepped,
+                         {{"move", move}, {"step", next.step}, {"progress", next.progress}});
+            });
+}
+
+void SteeringService::onServed(const std::string &service, const std::string &region,
+                               Duration serviceTime)
+{
+    const auto now = Clock::now();
+    const double ms = std::chrono::duration<double, std::milli>(serviceTime).count();
+    instance_.membership.use([&](MembershipState &state) {
+        state.headroom.ownOutcome(service, region, OwnOutcome::Served, now);
+        auto &unit = state.latencies[{service, region}];
+        unit.recentMs.add(ms, now);
+        unit.recentCount.add(1, now);
+        unit.longMs.add(ms, now);
+        unit.longCount.add(1, now);
+    });
+}
+
+void SteeringService::onRefused(const std::string &service, const std::string &region)
+{
+    instance_.membership.use([&](MembershipState &state) {
+        state.headroom.ownOutcome(service, region, OwnOutcome::Refused, Clock::now());
+    });
+}
+
+void SteeringService::onLinkBytes(const std::string &from, const std::string &to, std::size_t bytes)
+{
+    instance_.membership.use([&](MembershipState &state) {
+        state.links.add(from, to, static_cast<double>(bytes), Clock::now());
+    });
+}
+
+void takeHeadroomReports(HeadroomTable &table, const MemberRecord &record, TimePoint heardAt)
+{
+    for (const auto &unit : record.headroom)
+        table.report(unit.service, unit.region,
+                     {.epoch = unit.epoch,
+                      .freeSlots = unit.freeSlots,
+                      .totalSlots = unit.totalSlots,
+                      .queued = unit.queued},
+                     heardAt - unit.age);
+}
+
+double freeLinkShare(const Version &version, const LinkUseTable &links, const std::string &from,
+                     const std::string &to, TimePoint now)
+{
+    if (internal::findLink(version, from, to) == nullptr)
+        return 0;
+    return std::clamp(internal::linkCap(version, from, to)
+                              - internal::linkUse(version, links, from, to, now),
+                      0.0, 1.0);
+}
+
+} // namespace chestnutvane
