--- a/chestnutvane/process/broker_service.cc
+++ b/chestnutvane/process/broker_service.cc
@@ -18,6 +18,7 @@
 constexpr Milliseconds probeTimeout{400};
 constexpr Milliseconds watchPause{500}; // after a failed watch, so that an outage is not hammered
 constexpr Milliseconds peerTimeout{1000};
+constexpr Milliseconds remoteBrokersAge{20}; // copying all members for each request is too slow
 
 std::string roleKey(const std::string &service, const std::string &region)
 {
@@ -32,8 +33,8 @@
 
 void BrokerService::start()
 {
-    watchRoles(0);
-    watchLeases(0);
+    watchRoles(std::nullopt);
+    watchLeases(std::nullopt);
     instance_.workers->every(internal::roleInterval, [this] { decideRoles(); });
     instance_.workers->every(internal::brokerTick, [this] { tick(); });
     instance_.workers->every(internal::rebuildInterval, [this] { askForReports(); });
@@ -46,7 +47,7 @@
         callback(answer);
 }
 
-void BrokerService::watchRoles(std::uint64_t afterVersion)
+void BrokerService::watchRoles(std::optional<std::uint64_t> afterVersion)
 {
     instance_.watchStore(
             std::string(internal::rolePrefix), afterVersion,
@@ -71,7 +72,7 @@
             });
 }
 
-void BrokerService::watchLeases(std::uint64_t afterVersion)
+void BrokerService::watchLeases(std::optional<std::uint64_t> afterVersion)
 {
     instance_.watchStore(std::string(internal::leasePrefix), afterVersion,
                          [this, afterVersion](Result<WatchResult, StoreError> result) {
@@ -461,32 +462,46 @@
     }
 }
 
-std::optional<BrokerService::Location> BrokerService::locate(const std::string &service,
-                                                             const std::string &region)
+std::shared_ptr<const BrokerService::RemoteBrokers> BrokerService::remoteBrokers(TimePoint now)
 {
-    std::uint64_t epoch = 0;
-    std::optional<Location> location;
-    state_.use([&](State &state) {
-        const auto entry = state.units.find(unitIdOf(service, region));
-        if (entry != state.units.end() && entry->second.broker) {
-            epoch = entry->second.broker->epoch();
-            location = Location{.local = true, .peerAddress = {}};
-        }
-    });
+    auto current = remote_.load();
+    if (current && now - current->madeAt < internal::remoteBrokersAge)
+        return current;
+    auto next = std::make_shared<RemoteBrokers>();
+    next->madeAt = now;
     instance_.membership.use([&](MembershipState &state) {
-        for (const auto &member : state.table.members(Clock::now())) {
+        for (const auto &member : state.table.members(now)) {
             if (member.record.id == instance_.settings.instanceId
                 || member.status == MemberStatus::Gone || member.status == MemberStatus::Silent)
                 continue;
             for (const auto &held : member.record.brokers) {
-                if (held.service == service && held.region == region && held.epoch > epoch) {
-                    epoch = held.epoch;
-                    location = Location{.local = false, .peerAddress = member.record.peerAddress};
-                }
+                auto &entry = next->units[unitIdOf(held.service, held.region)];
+                if (held.epoch > entry.first)
+                    entry = {held.epoch, member.record.peerAddress};
             }
         }
     });
-    return location;
+    remote_.store(next);
+    return next;
+}
+
+std::optional<BrokerService::Location> BrokerService::locate(const std::string &service,
+                                                             const std::string &region)
+{
+    const auto id = unitIdOf(service, region);
+    const auto remote = remoteBrokers(Clock::now());
+    const auto other = remote->units.find(id);
+    const std::uint64_t otherEpoch = other == remote->units.end() ? 0 : other->second.first;
+    const bool local = state_.use([&](State &state) {
+        const auto entry = state.units.find(id);
+        return entry != state.units.end() && entry->second.broker
+                && entry->second.broker->epoch() >= otherEpoch;
+    });
+    if (local)
+        return Location{.local = true, .peerAddress = {}};
+    if (otherEpoch == 0)
+        return std::nullopt;
+    return Location{.local = false, .peerAddress = other->second.second};
 }
 
 std::vector<BrokerService::UnitReport> BrokerService::reports()
--- a/chestnutvane/process/broker_service.h
+++ b/chestnutvane/process/broker_service.h
@@ -10,6 +10,7 @@
 // Thread-safe.
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -99,11 +100,18 @@
         CrashSuspects suspects;
         std::string suspectsRegion;
     };
+    // The brokers of other instances, as of one moment. Immutable.
+    struct RemoteBrokers
+    {
+        TimePoint madeAt;
+        std::map<UnitId, std::pair<std::uint64_t, std::string>> units; // epoch, peer address
+    };
     // Answers to be given after the lock is released.
     using Answers = std::vector<std::pair<AnswerCallback, GrantAnswer>>;
 
-    void watchRoles(std::uint64_t afterVersion);
-    void watchLeases(std::uint64_t afterVersion);
+    std::shared_ptr<const RemoteBrokers> remoteBrokers(TimePoint now);
+    void watchRoles(std::optional<std::uint64_t> afterVersion);
+    void watchLeases(std::optional<std::uint64_t> afterVersion);
     void decideRoles();
     void decideRole(State &state, Unit &unit, const Version &version, RoleInput input,
                     TimePoint now, Answers &answers, std::vector<CompareAndSwap> &writes);
@@ -127,6 +135,7 @@
 
     Instance &instance_;
     Guarded<State, LockRank::Broker> state_;
+    std::atomic<std::shared_ptr<const RemoteBrokers>> remote_;
 };
 
 } // namespace chestnutvane
--- a/chestnutvane/process/config_service.cc
+++ b/chestnutvane/process/config_service.cc
@@ -23,11 +23,11 @@
 
 void ConfigService::start()
 {
-    watch(0);
+    watch(std::nullopt);
     instance_.workers->every(internal::readinessInterval, [this] { updateReadiness(); });
 }
 
-void ConfigService::watch(std::uint64_t afterVersion)
+void ConfigService::watch(std::optional<std::uint64_t> afterVersion)
 {
     instance_.watchStore(
             std::string(configHeadKey), afterVersion,
--- a/chestnutvane/process/config_service.h
+++ b/chestnutvane/process/config_service.h
@@ -47,7 +47,7 @@
 private:
     struct Apply;
 
-    void watch(std::uint64_t afterVersion);
+    void watch(std::optional<std::uint64_t> afterVersion);
     void fetchFrom(const std::string &address);
     void step(const std::shared_ptr<Apply> &apply, ApplyStep next);
 
--- a/chestnutvane/process/instance.cc
+++ b/chestnutvane/process/instance.cc
@@ -20,7 +20,7 @@
     return current ? regionOfZone(*current, settings.zone) : std::string();
 }
 
-void Instance::watchStore(const std::string &prefix, std::uint64_t afterVersion,
+void Instance::watchStore(const std::string &prefix, std::optional<std::uint64_t> afterVersion,
                           std::function<void(Result<WatchResult, StoreError>)> callback)
 {
     constexpr Milliseconds longestWait{10'000};
@@ -28,10 +28,10 @@
         noteStoreCall(isStoreAnswer(result), Clock::now());
         callback(std::move(result));
     };
-    if (afterVersion == 0)
+    if (!afterVersion)
         store.list(prefix, std::move(noted));
     else
-        store.watch(prefix, afterVersion, longestWait, std::move(noted));
+        store.watch(prefix, *afterVersion, longestWait, std::move(noted));
 }
 
 void Instance::noteStoreCall(bool answered, TimePoint now)
--- a/chestnutvane/process/instance.h
+++ b/chestnutvane/process/instance.h
@@ -113,9 +113,9 @@
     // The region of this instance under the revision in force, or empty.
     std::string region();
 
-    // Yields the entries of a prefix at once if afterVersion is 0, else after the next change or
-    // at the end of the wait, and notes the call.
-    void watchStore(const std::string &prefix, std::uint64_t afterVersion,
+    // Yields the entries of a prefix at once if there is no afterVersion, else after the next
+    // change or at the end of the wait, and notes the call.
+    void watchStore(const std::string &prefix, std::optional<std::uint64_t> afterVersion,
                     std::function<void(Result<WatchResult, StoreError>)> callback);
 
     // Notes the end of a store call. "answered" is false if the store could not be reached.
--- a/chestnutvane/process/steering_service.cc
+++ b/chestnutvane/process/steering_service.cc
@@ -61,11 +61,11 @@
 
 void SteeringService::start()
 {
-    watchMoves(0);
+    watchMoves(std::nullopt);
     instance_.workers->every(internal::stepTimer, [this] { stepMoves(); });
 }
 
-void SteeringService::watchMoves(std::uint64_t afterVersion)
+void SteeringService::watchMoves(std::optional<std::uint64_t> afterVersion)
 {
     instance_.watchStore(
             std::string(internal::movePrefix), afterVersion,
--- a/chestnutvane/process/steering_service.h
+++ b/chestnutvane/process/steering_service.h
@@ -37,7 +37,7 @@
     void onLinkBytes(const std::string &from, const std::string &to, std::size_t bytes);
 
 private:
-    void watchMoves(std::uint64_t afterVersion);
+    void watchMoves(std::optional<std::uint64_t> afterVersion);
     void stepMoves();
     MoveConditions conditions(const MembershipState &state, const Version &version,
                               const MoveRule &move, TimePoint now);
