Answer malformed, oversized and slow requests with a stated outcome

Cause: RESTinio closes the connection without an answer when it cannot read a request, so the caller could not tell whether it ran.

Change: RefusingSocket, a socket type for RESTinio, writes 400, 408 or 413 with "Vane-Outcome: not-run" before it is shut down in the middle of a request, and nothing once the request was handed over. Reading such requests whole was ruled out: their size is not bounded.

A request that is in the handler at its time limit is not said to be not run. 3 tests.

--- a/chestnutvane/connection/http_server.cc
+++ b/chestnutvane/connection/http_server.cc
@@ -4,11 +4,15 @@
 
 #include <thread>
 
+#include "chestnutvane/connection/refusing_socket.h"
+
 namespace chestnutvane {
 namespace internal {
 namespace {
 
-struct ServerTraits : restinio::default_traits_t
+struct ServerTraits : restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t,
+                                         restinio::default_request_handler_t,
+                                         restinio::default_strand_t, RefusingSocket>
 {
     // NOLINTNEXTLINE(readability-identifier-naming): RESTinio looks for this name
     static constexpr bool use_connection_count_limiter = true;
@@ -17,7 +21,7 @@
 using Server = restinio::http_server_t<ServerTraits>;
 
 // Between the body limit and this factor of it a request is read whole and refused with 413. A body
-// above it closes the connection, because RESTinio offers no way to answer while it reads.
+// above it is refused by RefusingSocket in the middle of the transfer.
 constexpr std::uint64_t readFactor = 2;
 constexpr std::size_t maxUrlBytes = 8192;
 constexpr std::size_t maxHeaderFields = 64;
--- /dev/null
+++ b/chestnutvane/connection/http_server_test.cc
@@ -0,0 +1,83 @@
+#include "chestnutvane/connection/http_server.h"
+
+#include <gtest/gtest.h>
+
+#include <asio.hpp>
+#include <atomic>
+
+namespace chestnutvane {
+namespace {
+
+constexpr std::uint16_t port = 18433;
+
+// Sends bytes on a new connection and returns all that comes back until the server closes.
+std::string converse(const std::string &bytes)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::error_code failure;
+    asio::write(socket, asio::buffer(bytes), failure);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), failure);
+    return answer;
+}
+
+class HttpServerTest : public testing::Test
+{
+protected:
+    std::atomic<int> handled_{0};
+    std::vector<Responder> kept_; // of requests that are never answered
+    std::unique_ptr<HttpServer> server_ = value(HttpServer::create(
+            {.address = "127.0.0.1",
+             .port = port,
+             .maxBodyBytes = 1000,
+             .readTimeout = Milliseconds(300),
+             .handleTimeout = Milliseconds(500)},
+            [this](ServerRequest request, const Responder &respond) {
+                ++handled_;
+                if (request.path == "/never")
+                    kept_.push_back(respond);
+                else
+                    respond({.status = 200, .body = "ok", .closeConnection = true});
+            }));
+};
+
+// Guards against a request that is refused by closing the connection: its sender could not tell
+// whether it ran.
+TEST_F(HttpServerTest, UnreadableRequestsGetAStatedOutcome)
+{
+    const std::pair<std::string, std::string> cases[]{
+            {"no http at all\r\n\r\n", "HTTP/1.1 400"},
+            {"GET /slow HTTP/1.1\r\nHost: x\r\n", "HTTP/1.1 408"},
+            {"POST /big HTTP/1.1\r\nHost: x\r\nContent-Length: 1500\r\n\r\n"
+                     + std::string(1500, 'b'),
+             "HTTP/1.1 413"},
+            {"POST /big HTTP/1.1\r\nHost: x\r\nContent-Length: 9000000\r\n\r\n", "HTTP/1.1 4"},
+    };
+    for (const auto &[request, status] : cases) {
+        const auto answer = converse(request);
+        EXPECT_TRUE(answer.starts_with(status)) << answer;
+        EXPECT_NE(answer.find("Vane-Outcome: not-run"), std::string::npos) << answer;
+    }
+    EXPECT_EQ(handled_, 0);
+}
+
+// Guards against "not-run" for a request that the handler has taken and may still run.
+TEST_F(HttpServerTest, RequestInTheHandlerIsNotSaidNotToRun)
+{
+    const auto answer = converse("GET /never HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_EQ(handled_, 1);
+    EXPECT_EQ(answer.find("not-run"), std::string::npos) << answer;
+}
+
+// Guards against a refusal after a complete answer on the same connection.
+TEST_F(HttpServerTest, AnsweredRequestIsNotRefused)
+{
+    const auto answer = converse("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+    EXPECT_EQ(answer.find("not-run"), std::string::npos) << answer;
+}
+
+} // namespace
+} // namespace chestnutvane
