Add the operators' tool and the answers it needs

Cause: operators had no program; changes were sent by hand as JSON, bad rules were answered with the first mistake only, and a change id could not be looked up after an undetermined verdict.

The operator listener answers bad rules with every mistake, looks up a change id at /v1/change, takes a timeout for an apply, and names the base and the change's own revision in its verdict. Retrying a conflict by itself was ruled out: the operator must see what others changed.

--- /dev/null
+++ b/chestnutvane/operator/command_output.cc
@@ -0,0 +1,202 @@
+#include "chestnutvane/operator/command_output.h"
+
+#include <fmt/format.h>
+
+#include "chestnutvane/version/rule_diff.h"
+
+namespace chestnutvane {
+namespace internal {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view red = "\x1b[31m";
+constexpr std::string_view green = "\x1b[32m";
+constexpr std::string_view plain = "\x1b[0m";
+
+std::string coloured(std::string_view text, std::string_view code, Colour colour)
+{
+    return colour == Colour::On ? fmt::format("{}{}{}", code, text, plain) : std::string(text);
+}
+
+// A member as text: strings without quotes, all else as JSON, "-" if it is absent.
+std::string show(const json &object, const char *name)
+{
+    if (!object.is_object() || !object.contains(name))
+        return "-";
+    const auto &member = object.at(name);
+    return member.is_string() ? member.get<std::string>()
+                              : member.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+const json &listOf(const json &object, const char *name)
+{
+    static const json none = json::array();
+    return object.is_object() && object.contains(name) && object.at(name).is_array()
+            ? object.at(name)
+            : none;
+}
+
+std::string joined(const std::vector<std::string> &names)
+{
+    return fmt::format("{}", fmt::join(names, ", "));
+}
+
+std::string acceptedText(const ChangeReport &report)
+{
+    auto text = fmt::format("accepted as revision {}", report.revision);
+    if (!report.instancesKnown)
+        return text + "; no server told which instances have it\n";
+    if (report.lagging.empty())
+        text += "; in force at every live instance\n";
+    else {
+        text += fmt::format("; {} live instance(s) lag:\n", report.lagging.size());
+        for (const auto &[id, revision] : report.lagging)
+            text += fmt::format("  {} has revision {}\n", id, revision);
+    }
+    if (!report.silent.empty())
+        text += fmt::format("not heard, and not waited for: {}\n", joined(report.silent));
+    return text;
+}
+
+std::string conflictText(const ChangeReport &report, const Change &change,
+                         const std::string *baseRules, Colour colour)
+{
+    auto text = fmt::format(
+            "conflict: the change was made on revision {}; revision {} by {} is in force\n",
+            change.baseRevision, report.revision, report.author);
+    if (baseRules != nullptr)
+        return text + "changed since by others:\n" + diffText(*baseRules, report.rules, colour);
+    return text + "from what is in force to this change:\n"
+            + diffText(report.rules, change.rules, colour);
+}
+
+} // namespace
+} // namespace internal
+
+std::string diffText(std::string_view before, std::string_view after, Colour colour)
+{
+    std::string text;
+    for (const auto &line : diffLines(before, after))
+        text += internal::coloured(fmt::format("{}{}: {}", line.sign, line.line, line.text),
+                                   line.sign == '-' ? internal::red : internal::green, colour)
+                + "\n";
+    return text.empty() ? "no difference\n" : text;
+}
+
+std::string mistakesText(std::string_view file, const std::vector<RuleMistake> &mistakes,
+                         Colour colour)
+{
+    std::string text;
+    for (const auto &mistake : mistakes)
+        text += fmt::format("{}:{}\n", file,
+                            internal::coloured(mistakeText(mistake), internal::red, colour));
+    return text;
+}
+
+std::string mistakesText(std::string_view file, const nlohmann::json &mistakes, Colour colour)
+{
+    using internal::show;
+    std::string text;
+    for (const auto &mistake : mistakes)
+        text += fmt::format(
+                "{}:{}\n", file,
+                internal::coloured(fmt::format("{}:{}: {}: {}; {}", show(mistake, "line"),
+                                               show(mistake, "column"), show(mistake, "kind"),
+                                               show(mistake, "message"), show(mistake, "remedy")),
+                                   internal::red, colour));
+    return text;
+}
+
+std::string changeText(const ChangeReport &report, const Change &change,
+                       const std::string *baseRules, Colour colour)
+{
+    switch (report.outcome) {
+    case ChangeOutcome::Accepted:
+    case ChangeOutcome::Lagging:
+        return internal::acceptedText(report);
+    case ChangeOutcome::Conflict:
+        return internal::conflictText(report, change, baseRules, colour);
+    case ChangeOutcome::NotAccepted:
+        return fmt::format("not accepted ({}); nothing has changed\n", report.reason);
+    case ChangeOutcome::BadRules:
+        return fmt::format("not accepted: {}\n{}", report.reason,
+                           mistakesText("rules", report.mistakes, colour));
+    case ChangeOutcome::Undetermined:
+        break;
+    }
+    return fmt::format("undetermined after {} attempt(s) ({}); the change may take effect. Ask "
+                       "later with:\n  chestnutvanectl status --change {} --base {}\n",
+                       report.attempts, report.reason, change.changeId, change.baseRevision);
+}
+
+std::string statusText(const nlohmann::json &status, Colour colour)
+{
+    using internal::listOf;
+    using internal::show;
+    auto text =
+            fmt::format("answered by {} in zone {}: revision {}, ready {}, isolated {}, "
+                        "leaving {}, store reachable {}, in flight {}\n\ninstances:\n",
+                        show(status, "instance"), show(status, "zone"), show(status, "revision"),
+                        show(status, "ready"), show(status, "isolated"), show(status, "leaving"),
+                        show(status, "store-reachable"), show(status, "in-flight"));
+    for (const auto &member : listOf(status, "members")) {
+        std::string brokers;
+        for (const auto &unit : listOf(member, "brokers"))
+            brokers += " " + (unit.is_string() ? unit.get<std::string>() : unit.dump());
+        const auto state = show(member, "status");
+        text += fmt::format("  {:<16} {:<10} {:<8} revision {:<6} {}{}\n", show(member, "id"),
+                            show(member, "zone"),
+                            internal::coloured(state,
+                                               state == "serving" ? internal::green : internal::red,
+                                               colour),
+                            show(member, "revision"), show(member, "operator-address"),
+                            brokers.empty() ? "" : "  broker of" + brokers);
+    }
+    text += "\nunits whose broker is the answering instance:\n";
+    for (const auto &unit : listOf(status, "units"))
+        text += fmt::format("  {}/{}: {} of {} slots in use, {} usable, {} queued, headroom {}{}\n",
+                            show(unit, "service"), show(unit, "region"), show(unit, "in-use"),
+                            show(unit, "slots"), show(unit, "effective-slots"),
+                            show(unit, "queued"), show(unit, "headroom"),
+                            show(unit, "rebuilding") == "true" ? ", rebuilding" : "");
+    return text;
+}
+
+std::string changeStateText(const nlohmann::json &answer)
+{
+    using internal::show;
+    const auto state = show(answer, "state");
+    auto text = fmt::format("change {}: {}", show(answer, "change-id"), state);
+    if (state == "accepted")
+        text += fmt::format(" as revision {}", show(answer, "revision"));
+    else if (state == "superseded")
+        text += "; another change took its place, and it will not take effect";
+    else if (state == "open")
+        text += "; nothing was accepted on its base, and a write under way may yet take effect";
+    else if (state == "not-found")
+        text += "; give --base REVISION to learn whether it can still take effect";
+    else
+        text += "; the configuration has moved too far from its base to tell";
+    return text
+            + fmt::format("\nlooked up in revisions {} to {}, as known to the {}\n",
+                          show(answer, "oldest-revision"), show(answer, "head-revision"),
+                          show(answer, "source"));
+}
+
+std::string explainText(const nlohmann::json &answer)
+{
+    using internal::listOf;
+    using internal::show;
+    auto text = fmt::format("region {} at revision {}\n", show(answer, "region"),
+                            show(answer, "revision"));
+    for (const auto &step : listOf(answer, "steps"))
+        text += fmt::format("  {}\n", step.is_string() ? step.get<std::string>() : step.dump());
+    text += "instances:\n";
+    for (const auto &entry : listOf(answer, "instances"))
+        text += fmt::format("  {:<16} {:<10} weight {}\n", show(entry, "id"), show(entry, "zone"),
+                            show(entry, "weight"));
+    return text;
+}
+
+} // namespace chestnutvane
--- a/chestnutvane/process/operator_service.cc
+++ b/chestnutvane/process/operator_service.cc
@@ -1,6 +1,9 @@
 #include "chestnutvane/process/operator_service.h"
 
+#include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 #include "chestnutvane/version/rule_parser.h"
 
@@ -13,6 +16,9 @@
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
+constexpr std::int64_t minApplyTimeoutMs = 100;
+constexpr std::int64_t maxApplyTimeoutMs = 60'000; // below the HTTP server's limit of a handler
+constexpr std::size_t maxNameBytes = 128; // of a change id or an author; head keeps 64 change ids
 
 ServerResponse jsonResponse(int status, const json &body)
 {
@@ -38,6 +44,72 @@
     return {};
 }
 
+std::optional<std::uint64_t> toRevision(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (failure != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+// The answer to rules that cannot be used, or nothing if they can.
+std::optional<json> ruleFaults(std::string_view rules)
+{
+    json mistakes = json::array();
+    if (const auto parsed = parseRules(rules); !isOk(parsed)) {
+        for (const auto &mistake : error(parsed))
+            mistakes.push_back({{"line", mistake.line},
+                                {"column", mistake.column},
+                                {"kind", enumName(ruleMistakeKindNames, mistake.kind)},
+                                {"message", mistake.message},
+                                {"remedy", mistake.remedy}});
+    }
+    const auto compiled = compileVersion(0, rules);
+    if (isOk(compiled))
+        return std::nullopt;
+    return json{{"error", "bad-rules"},
+                {"detail", error(compiled).detail},
+                {"mistakes", std::move(mistakes)}};
+}
+
+// What a head tells about a change. Without a base revision an absent change is "not-found".
+json changeReport(const ConfigHead &head, std::string_view id, std::optional<std::uint64_t> base)
+{
+    json body{{"change-id", id},
+              {"head-revision", head.revision},
+              {"oldest-revision", head.history.empty() ? 0 : head.history.front().revision}};
+    for (const auto &entry : head.history) {
+        if (entry.changeId == id) {
+            body["state"] = enumName(changeStateNames, ChangeState::Accepted);
+            body["revision"] = entry.revision;
+            return body;
+        }
+    }
+    body["state"] = base ? enumName(changeStateNames, lookUpChange(head, id, *base)) : "not-found";
+    return body;
+}
+
+// Reads the body of an apply. Throws json::exception if a member is absent or has another type.
+ApplyRequest toApplyRequest(const json &body)
+{
+    ApplyRequest change;
+    change.rules = body.at("rules").get<std::string>();
+    change.baseRevision = body.at("base-revision").get<std::uint64_t>();
+    change.changeId = body.at("change-id").get<std::string>();
+    change.author = body.at("author").get<std::string>();
+    change.repeated = body.value("repeated", false);
+    change.timeout = Milliseconds(std::clamp<std::int64_t>(
+            body.value("timeout-ms", static_cast<std::int64_t>(change.timeout.count())),
+            minApplyTimeoutMs, maxApplyTimeoutMs));
+    return change;
+}
+
+bool isNameLength(std::string_view text)
+{
+    return !text.empty() && text.size() <= maxNameBytes;
+}
+
 } // namespace
 } // namespace internal
 
@@ -61,6 +133,8 @@
         status(respond);
     else if (request.path == "/v1/config")
         config(respond);
+    else if (request.path == "/v1/change")
+        change(request, std::move(respond));
     else if (request.path == "/v1/explain")
         explain(request, respond);
     else if (request.path == "/v1/apply" && request.method == "POST")
@@ -149,6 +223,40 @@
                                     {"rules", head.rules}}));
 }
 
+void OperatorService::change(const ServerRequest &request, Responder respond)
+{
+    const auto id = internal::queryValue(request.query, "id");
+    const auto baseText = internal::queryValue(request.query, "base");
+    const auto base = internal::toRevision(baseText);
+    if (id.empty() || (!baseText.empty() && !base)) {
+        respond(internal::jsonResponse(
+                internal::badRequest,
+                {{"error", "bad-request"},
+                 {"detail", "id must be a change id, and base a whole number or left out"}}));
+        return;
+    }
+    // The store is asked first, because this instance may not have heard of the change yet.
+    instance_.store.get(
+            std::string(configHeadKey),
+            [this, id, base, respond = std::move(respond)](Result<StoreEntry, StoreError> result) {
+                instance_.noteStoreCall(isStoreAnswer(result), Clock::now());
+                std::optional<ConfigHead> head;
+                if (isOk(result)) {
+                    if (auto decoded = decodeConfigHead(value(result).value); isOk(decoded))
+                        head = std::move(value(decoded));
+                } else if (error(result).failure == StoreFailure::NotFound) {
+                    head = ConfigHead{};
+                }
+                const bool fromStore = head.has_value();
+                if (!head)
+                    head = instance_.configuration.use(
+                            [](ConfigurationState &state) { return state.holder.head(); });
+                auto body = internal::changeReport(*head, id, base);
+                body["source"] = fromStore ? "store" : "instance";
+                respond(internal::jsonResponse(200, body));
+            });
+}
+
 void OperatorService::explain(const ServerRequest &request, const Responder &respond)
 {
     const auto service = internal::queryValue(request.query, "service");
@@ -174,35 +282,44 @@
     const auto body = internal::json::parse(request.body, nullptr, false);
     ApplyRequest change;
     try {
-        change.rules = body.at("rules").get<std::string>();
-        change.baseRevision = body.at("base-revision").get<std::uint64_t>();
-        change.changeId = body.at("change-id").get<std::string>();
-        change.author = body.at("author").get<std::string>();
-        change.repeated = body.value("repeated", false);
+        change = internal::toApplyRequest(body);
     } catch (const internal::json::exception &failure) {
         respond(internal::jsonResponse(internal::badRequest,
                                        {{"error", "bad-request"}, {"detail", failure.what()}}));
         return;
     }
-    if (const auto compiled = compileVersion(0, change.rules); !isOk(compiled)) {
+    if (!internal::isNameLength(change.changeId) || !internal::isNameLength(change.author)) {
         respond(internal::jsonResponse(
                 internal::badRequest,
-                {{"error", "bad-rules"}, {"detail", error(compiled).detail}}));
+                {{"error", "bad-request"},
+                 {"detail", "change-id and author must have 1 to 128 bytes"}}));
         return;
     }
-    configuration_.apply(std::move(change), [respond = std::move(respond)](ApplyVerdict verdict) {
-        internal::json answer{{"change-id", verdict.changeId},
-                              {"outcome", enumName(applyOutcomeNames, verdict.outcome)},
-                              {"reason", enumName(applyReasonNames, verdict.reason)}};
-        if (verdict.head) {
-            answer["revision"] = verdict.head->revision;
-            if (verdict.outcome == ApplyOutcome::Conflict) {
-                answer["author"] = verdict.head->author;
-                answer["rules"] = verdict.head->rules;
-            }
-        }
-        respond(internal::jsonResponse(200, answer));
-    });
+    if (auto faults = internal::ruleFaults(change.rules)) {
+        respond(internal::jsonResponse(internal::badRequest, *faults));
+        return;
+    }
+    const auto base = change.baseRevision;
+    configuration_.apply(
+            std::move(change), [base, respond = std::move(respond)](ApplyVerdict verdict) {
+                internal::json answer{{"change-id", verdict.changeId},
+                                      {"base-revision", base},
+                                      {"outcome", enumName(applyOutcomeNames, verdict.outcome)},
+                                      {"reason", enumName(applyReasonNames, verdict.reason)}};
+                if (verdict.head) {
+                    answer["revision"] = verdict.head->revision;
+                    // Other changes may have followed before this one was looked up.
+                    if (verdict.outcome == ApplyOutcome::Accepted)
+                        answer["revision"] =
+                                internal::changeReport(*verdict.head, verdict.changeId, base)
+                                        .value("revision", verdict.head->revision);
+                    if (verdict.outcome == ApplyOutcome::Conflict) {
+                        answer["author"] = verdict.head->author;
+                        answer["rules"] = verdict.head->rules;
+                    }
+                }
+                respond(internal::jsonResponse(200, answer));
+            });
 }
 
 } // namespace chestnutvane
--- a/chestnutvane/process/operator_service.h
+++ b/chestnutvane/process/operator_service.h
@@ -1,7 +1,8 @@
 // Serves operators: status, metrics, health, explain and changes of the configuration.
 //
-// Paths: GET /healthz, /readyz, /metrics, /v1/status, /v1/config, /v1/explain?service=S&client=IP;
-// POST /v1/apply with JSON {rules, base-revision, change-id, author, repeated}.
+// Paths: GET /healthz, /readyz, /metrics, /v1/status, /v1/config, /v1/explain?service=S&client=IP,
+// /v1/change?id=ID&base=REVISION (base may be left out); POST /v1/apply with JSON {rules,
+// base-revision, change-id, author, repeated, timeout-ms} (the last two may be left out).
 //
 // Thread-safe.
 #pragma once
@@ -27,6 +28,7 @@
 private:
     void status(const Responder &respond);
     void config(const Responder &respond);
+    void change(const ServerRequest &request, Responder respond);
     void explain(const ServerRequest &request, const Responder &respond);
     void apply(const ServerRequest &request, Responder respond);
     void metrics(const Responder &respond);
