Test the operators' tool with fakes and over loopback

Cause: the tool's verdicts decide whether an operator sends a change again.

The loopback test takes the first free port of a range, because CTest runs its cases in processes of their own at the same time.

--- /dev/null
+++ b/chestnutvane/operator/operator_loopback_test.cc
@@ -0,0 +1,262 @@
+// Drives the tool's functions against the operator listener of an instance whose store is a map.
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+#include "chestnutvane/connection/http_server.h"
+#include "chestnutvane/operator/commands.h"
+#include "chestnutvane/process/operator_service.h"
+
+namespace chestnutvane {
+namespace {
+
+using nlohmann::json;
+
+const std::string rules = "region a zones=a1 # asked by Mei\nservice s # asked by Lin\n";
+
+// A store of one key with switches for its faults.
+class OneKeyStore
+{
+public:
+    std::atomic<bool> up{true};
+    std::atomic<bool> loseNextAnswer{false}; // the write takes effect, then the store is down
+
+    Store functions()
+    {
+        Store store;
+        store.get = [this](const std::string &key, const auto &callback) { callback(read(key)); };
+        store.compareAndSwap = [this](const CompareAndSwap &call, const auto &callback) {
+            callback(write(call));
+        };
+        return store;
+    }
+
+private:
+    Result<StoreEntry, StoreError> read(const std::string &key)
+    {
+        const std::lock_guard lock(mutex_);
+        if (!up)
+            return StoreError{StoreFailure::Unavailable, "down"};
+        if (version_ == 0)
+            return StoreError{StoreFailure::NotFound, key};
+        return StoreEntry{key, value_, version_};
+    }
+
+    Result<std::uint64_t, StoreError> write(const CompareAndSwap &call)
+    {
+        const std::lock_guard lock(mutex_);
+        if (!up)
+            return StoreError{StoreFailure::Unavailable, "down"};
+        if (call.expectedVersion != version_)
+            return StoreError{StoreFailure::Conflict, "version"};
+        value_ = call.value;
+        ++version_;
+        if (!loseNextAnswer.exchange(false))
+            return version_;
+        up = false;
+        return StoreError{StoreFailure::AnswerLost, "lost"};
+    }
+
+    std::mutex mutex_;
+    std::string value_;
+    std::uint64_t version_ = 0;
+};
+
+class OperatorLoopbackTest : public testing::Test
+{
+protected:
+    OperatorLoopbackTest()
+    {
+        instance_.workers = std::make_unique<Workers>(2);
+        instance_.store = store_.functions();
+        const Handler handler = [this](ServerRequest request, Responder respond) {
+            if (request.path == "/v1/apply" && cutNextVerdict_.exchange(false))
+                respond = [cut = std::move(respond)](ServerResponse response) {
+                    response.abort = true;
+                    cut(std::move(response));
+                };
+            operators_.handle(std::move(request), std::move(respond));
+        };
+        // CTest runs each test in a process of its own, several at the same time.
+        for (std::uint16_t port = 18471; port < 18571; ++port) {
+            auto server = HttpServer::create({.port = port}, handler);
+            if (!isOk(server))
+                continue;
+            server_ = std::move(value(server));
+            address_ = "127.0.0.1:" + std::to_string(port);
+            break;
+        }
+    }
+
+    ~OperatorLoopbackTest() override
+    {
+        server_.reset();
+        instance_.workers->stop();
+    }
+
+    CommandResult run(Command command)
+    {
+        OperatorClient client({address_}, makeExchange(*http_));
+        command.json = true;
+        command.author = "Lin";
+        command.askedBy = "Mei";
+        if (command.timeout == Milliseconds(0))
+            command.timeout = Milliseconds(2000);
+        return runCommand(command,
+                          {.client = client,
+                           .waiting = {.now = [] { return Clock::now(); },
+                                       .sleep =
+                                               [](Milliseconds length) {
+                                                   std::this_thread::sleep_for(length);
+                                               }},
+                           .readFile = [this](const std::string &) { return std::optional(file_); },
+                           .newChangeId = [this] { return "id-" + std::to_string(++lastId_); },
+                           .progress =
+                                   [this](const std::string &) {
+                                       if (const auto race = std::exchange(beforeSend_, nullptr))
+                                           race();
+                                   }});
+    }
+
+    json inForce() const
+    {
+        OperatorClient client({address_}, makeExchange(*http_));
+        return value(client.get("/v1/config", Milliseconds(2000))).body;
+    }
+
+    static MemberRecord record(const std::string &id)
+    {
+        MemberRecord own;
+        own.id = id;
+        own.incarnation = std::string(32, id.back());
+        own.generation = 1;
+        own.sequence = 1;
+        own.zone = "a1";
+        own.peerAddress = "127.0.0.1:1" + id.substr(1);
+        return own;
+    }
+
+    const Command apply_{.name = CommandName::Apply, .file = "f"};
+    const Command drain_{
+            .name = CommandName::Drain, .drainKind = DrainKind::Zone, .drainSubject = "a1"};
+    OneKeyStore store_;
+    Instance instance_{Settings{.instanceId = "i1", .zone = "a1"}, std::string(32, '1'),
+                       holderIdOf(std::string(32, '1')), record("i1")};
+    BrokerService brokers_{instance_};
+    GrantService grants_{instance_, brokers_};
+    MemberService members_{instance_, brokers_, grants_};
+    ConfigService configuration_{instance_};
+    LookUpService lookUps_{instance_, brokers_};
+    CallerService callers_{instance_, lookUps_, grants_, members_};
+    OperatorService operators_{instance_, brokers_, configuration_, lookUps_, callers_};
+    std::atomic<bool> cutNextVerdict_{false};
+    std::unique_ptr<HttpServer> server_;
+    std::string address_;
+    std::unique_ptr<HttpClient> http_ = value(HttpClient::create({}));
+    std::string file_ = rules;
+    std::function<void()> beforeSend_;
+    int lastId_ = 0;
+};
+
+// Guards against a tool and an instance that differ about paths, members or verdicts.
+TEST_F(OperatorLoopbackTest, AppliesDrainsAndUndoes)
+{
+    EXPECT_EQ(run(apply_).status, ExitStatus::Done);
+    EXPECT_EQ(inForce()["rules"], rules);
+    EXPECT_EQ(run(drain_).status, ExitStatus::Done);
+    EXPECT_EQ(inForce()["rules"], rules + "drain zone=a1 # asked by Mei\n");
+    auto undo = drain_;
+    undo.undo = true;
+    EXPECT_EQ(run(undo).status, ExitStatus::Done);
+    EXPECT_EQ(inForce()["rules"], rules);
+    EXPECT_EQ(inForce()["author"], "Lin, asked by Mei");
+    EXPECT_EQ(inForce()["revision"], 3);
+}
+
+// Guards against an operator who overwrites a change that was accepted while he edited.
+TEST_F(OperatorLoopbackTest, ChangeInBetweenIsAConflict)
+{
+    EXPECT_EQ(run(apply_).status, ExitStatus::Done);
+    beforeSend_ = [this] { EXPECT_EQ(run(drain_).status, ExitStatus::Done); };
+    file_ = rules + "service t # asked by Lin\n";
+    const auto result = run(apply_);
+    EXPECT_EQ(result.status, ExitStatus::Conflict);
+    const auto answer = json::parse(result.output);
+    EXPECT_EQ(answer["base-revision"], 1);
+    EXPECT_EQ(answer["revision"], 2);
+    EXPECT_EQ(answer["rules"], rules + "drain zone=a1 # asked by Mei\n");
+    EXPECT_EQ(inForce()["revision"], 2);
+}
+
+// Guards against a change that is applied twice, or reported as failed, after its answer was lost
+// between instance and tool.
+TEST_F(OperatorLoopbackTest, LostVerdictIsFoundByTheSameChangeId)
+{
+    cutNextVerdict_ = true;
+    const auto result = run(apply_);
+    EXPECT_EQ(result.status, ExitStatus::Done);
+    EXPECT_EQ(json::parse(result.output)["attempts"], 2);
+    EXPECT_EQ(inForce()["revision"], 1);
+}
+
+// Guards against a wrong verdict when the store's answer is lost and the store stays down, and
+// against a change id that is not found after the store is back.
+TEST_F(OperatorLoopbackTest, LostWriteIsUndeterminedUntilTheStoreIsBack)
+{
+    store_.loseNextAnswer = true;
+    auto hasty = apply_;
+    hasty.timeout = Milliseconds(600);
+    EXPECT_EQ(run(hasty).status, ExitStatus::Undetermined);
+    const Command ask{.name = CommandName::Status, .changeId = "id-1", .base = 0};
+    EXPECT_EQ(run(ask).status, ExitStatus::Undetermined);
+    store_.up = true;
+    const auto found = run(ask);
+    EXPECT_EQ(found.status, ExitStatus::Done);
+    EXPECT_EQ(json::parse(found.output)["revision"], 1);
+}
+
+// Guards against "undetermined" for a change that was surely not written.
+TEST_F(OperatorLoopbackTest, StoreThatIsDownAcceptsNothing)
+{
+    store_.up = false;
+    auto hasty = apply_;
+    hasty.timeout = Milliseconds(600);
+    const auto result = run(hasty);
+    EXPECT_EQ(result.status, ExitStatus::Failed);
+    EXPECT_EQ(json::parse(result.output)["reason"], "store-down");
+}
+
+// Guards against a success that passes over a live instance with a former revision.
+TEST_F(OperatorLoopbackTest, LiveInstanceWithFormerRevisionLags)
+{
+    instance_.membership.use([](MembershipState &state) {
+        auto other = record("i2");
+        other.state = MemberState::Serving;
+        state.table.receive({.sender = other}, Clock::now());
+    });
+    auto hasty = apply_;
+    hasty.timeout = Milliseconds(600);
+    const auto result = run(hasty);
+    EXPECT_EQ(result.status, ExitStatus::Lagging);
+    EXPECT_EQ(json::parse(result.output)["lagging"][0]["id"], "i2");
+}
+
+// Guards against an instance that names only the first mistake, for tools that do not check.
+TEST_F(OperatorLoopbackTest, InstanceNamesEveryMistake)
+{
+    OperatorClient client({address_}, makeExchange(*http_));
+    const auto answer = client.post(
+            "/v1/apply",
+            {{"rules", "foo\nbar\n"}, {"base-revision", 0}, {"change-id", "x"}, {"author", "Lin"}},
+            Milliseconds(2000));
+    ASSERT_TRUE(isOk(answer));
+    EXPECT_EQ(value(answer).status, 400);
+    EXPECT_GE(value(answer).body["mistakes"].size(), 2U);
+    EXPECT_EQ(value(answer).body["mistakes"].back()["line"], 2);
+}
+
+} // namespace
+} // namespace chestnutvane
