--- a/testing/target_standin.cc
+++ b/testing/target_standin.cc
@@ -114,6 +114,7 @@
                              {"above-slots", aboveSlots_},
                              {"shed", shed_},
                              {"last-start-ms", lastStartMs_},
+                             {"last-end-ms", lastEndMs_},
                              {"by-tag", byTag_}}
                                 .dump()};
     }
@@ -156,6 +157,8 @@
         {
             const std::lock_guard lock(mutex_);
             --running_;
+            lastEndMs_ = std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch())
+                                 .count();
             silent = switches_.silent;
         }
         if (silent)
@@ -190,7 +193,8 @@
     std::uint64_t runs_ = 0;
     std::uint64_t aboveSlots_ = 0;
     std::uint64_t shed_ = 0;
-    std::int64_t lastStartMs_ = 0;
+    std::int64_t lastStartMs_ = 0; // since the start of the process
+    std::int64_t lastEndMs_ = 0; // on the monotonic clock, which all processes share
     std::map<std::string, int> byTag_;
 };
 
