--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -1,10 +1,7 @@
 #include "testing/deployment.h"
 
-#include <fcntl.h>
 #include <fmt/format.h>
-#include <spawn.h>
 #include <sys/wait.h>
-#include <unistd.h>
 
 #include <cerrno>
 #include <csignal>
@@ -13,6 +10,7 @@
 #include <utility>
 
 #include "chestnutvane/version/rule_parser.h"
+#include "testing/spawn.h"
 
 namespace chestnutvane {
 namespace {
@@ -39,26 +37,6 @@
     return text;
 }
 
-// Starts a program. Returns its process id, or 0.
-int spawnProgram(const std::vector<std::string> &arguments, const std::string &output)
-{
-    std::vector<char *> argv;
-    argv.reserve(arguments.size() + 1);
-    for (const auto &argument : arguments)
-        argv.push_back(const_cast<char *>(argument.c_str())); // NOLINT: posix_spawn keeps it
-    argv.push_back(nullptr);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
-    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
-    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-    pid_t pid = 0;
-    const int failure = posix_spawn(&pid, argv.front(), &actions, nullptr, argv.data(), environ);
-    posix_spawn_file_actions_destroy(&actions);
-    return failure == 0 ? pid : 0;
-}
-
 } // namespace
 
 Deployment::Deployment(DeploymentOptions options) : options_(std::move(options)) { }
@@ -175,6 +153,14 @@
     return found->second.pid != 0;
 }
 
+bool Deployment::startProgram(const std::string &name, std::vector<std::string> arguments)
+{
+    if (isRunning(name))
+        return false;
+    children_[name].arguments = std::move(arguments);
+    return start(name);
+}
+
 bool Deployment::sendSignal(const std::string &name, int signal)
 {
     return isRunning(name) && kill(children_[name].pid, signal) == 0;
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -96,6 +96,8 @@
 
     // Starts a process that does not run, with the arguments it had.
     bool start(const std::string &name);
+    // Starts another program, for example a caller, under a name of its own.
+    bool startProgram(const std::string &name, std::vector<std::string> arguments);
     // Sends a signal to a running process. False: it does not run.
     bool sendSignal(const std::string &name, int signal);
     // Waits for the end of a process. Returns its exit status, 128 + N if signal N ended it, or
