--- a/testing/deployment_runner.cc
+++ b/testing/deployment_runner.cc
@@ -136,6 +136,8 @@
                     arguments.push_back(deployment_.callerAddress(instance.id));
                 }
                 callers_.push_back(callerName(group, load));
+                // Logs are added to; the report of an earlier run must not stay.
+                std::filesystem::remove(options_.logFolder + "/" + callers_.back() + ".log");
                 if (!deployment_.startProgram(callers_.back(), std::move(arguments)))
                     return false;
             }
