--- a/testing/caller_standin_test.cc
+++ b/testing/caller_standin_test.cc
@@ -43,7 +43,8 @@
     ASSERT_TRUE(isOk(made)) << error(made).detail;
     auto &deployment = *value(made);
     ASSERT_TRUE(deployment.waitUntilServing(Milliseconds{20'000})) << deployment.describeWait();
-    std::vector<std::string> arguments{CHESTNUTVANE_BUILD_FOLDER "/testing/caller_standin",
+    std::vector<std::string> arguments{std::string(CHESTNUTVANE_BUILD_FOLDER)
+                                               + "/testing/caller_standin",
                                        "--name",
                                        "north",
                                        "--client-prefix",
