Close the connection of an at-most-once request after its exchange

Cause: each at-most-once request opens a connection, and libcurl kept it open for reuse: 330, 672 and 828 open connections at one target after 1,000, 2,000 and 3,000 checkouts, where the rule allows 330.

Change: CURLOPT_FORBID_REUSE beside CURLOPT_FRESH_CONNECT. A smaller pool was ruled out: it would also close the connections of idempotent requests.

Result: the test fails without the option (the next exchange is silent on the reused connection) and passes with it.

--- a/chestnutvane/connection/http_client.cc
+++ b/chestnutvane/connection/http_client.cc
@@ -151,6 +151,8 @@
                      std::max<long>(1, request.connectTimeout.count()));
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(options.maxIdleAge.count()));
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.freshConnection ? 1L : 0L);
+    // A fresh connection that stays open would add up to more than a target accepts.
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request.freshConnection ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onRequestStart);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &exchange);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, onHeader);
--- a/chestnutvane/connection/http_client_test.cc
+++ b/chestnutvane/connection/http_client_test.cc
@@ -124,6 +124,18 @@
     }
 }
 
+// Guards against connections of at-most-once requests that stay open and add up to more than a
+// target accepts.
+TEST(HttpClientTest, FreshConnectionIsClosedAfterItsExchange)
+{
+    ScriptedTarget target(ScriptedTarget::SecondRequest::StaySilent);
+    const auto client = makeClient();
+    EXPECT_TRUE(isOk(exchange(*client, {.url = target.url(), .freshConnection = true})));
+    const auto next = exchange(*client, {.url = target.url(), .timeout = Milliseconds{300}});
+    ASSERT_TRUE(isOk(next));
+    EXPECT_FALSE(value(next).reusedConnection);
+}
+
 // Guards against a silent path that goes unnoticed, and against cutting the exchange for it.
 TEST(HttpClientTest, SilenceOnReusedConnectionIsReportedOnceAndEndsNothing)
 {
--- a/chestnutvane/operator/operator_loopback_test.cc
+++ b/chestnutvane/operator/operator_loopback_test.cc
@@ -149,8 +149,9 @@
     GrantService grants_{instance_, brokers_};
     MemberService members_{instance_, brokers_, grants_};
     ConfigService configuration_{instance_};
-    LookUpService lookUps_{instance_, brokers_};
-    CallerService callers_{instance_, lookUps_, grants_, members_};
+    LookUpService lookUps_{instance_};
+    SteeringService steering_{instance_};
+    CallerService callers_{instance_, lookUps_, grants_, members_, steering_};
     OperatorService operators_{instance_, brokers_, configuration_, lookUps_, callers_};
     std::atomic<bool> cutNextVerdict_{false};
     std::unique_ptr<HttpServer> server_;
