Choose a target with one look at each

Cause: a request and its release took 2.5 to 2.9 microseconds at 200 targets and the aim is 2. By callgrind the choice of the target was 89% of the instructions: each candidate computed its free slots three times through calls that were not inlined.

Change: pickTarget() keeps the free slots of the best so far; the small predicates are inline; the members they read lie together at the start of TargetSlots. The order of preference is the same.

The slot broker tests, the model tests and the policy tests pass.

--- a/chestnutvane/process/target_slots.cc
+++ b/chestnutvane/process/target_slots.cc
@@ -103,28 +103,6 @@
     target.lastLimitChange = now;
 }
 
-bool hasFailed(const TargetSlots &target)
-{
-    return target.connectFailures >= connectFailureLimit;
-}
-
-bool isUsable(const TargetSlots &target)
-{
-    return !target.drained && !target.leavingByRules && !target.leavingByReport && !target.removed;
-}
-
-int effectiveSlots(const TargetSlots &target)
-{
-    return isUsable(target) && !hasFailed(target) ? std::min(target.limit, target.slots) : 0;
-}
-
-int freeSlots(const TargetSlots &target)
-{
-    if (target.alone || target.reserved)
-        return 0;
-    return std::max(0, effectiveSlots(target) - target.inUse - target.unknown);
-}
-
 CrashSign noteOutcome(TargetSlots &target, GrantResult result, std::uint64_t fingerprint,
                       TimePoint issuedAt, TimePoint now)
 {
@@ -172,21 +150,32 @@
 std::optional<std::size_t> pickTarget(std::span<const TargetSlots> targets,
                                       const TriedTargets &tried, std::uint64_t random)
 {
+    if (targets.empty())
+        return std::nullopt;
     const bool avoidTried = tried.count > 0 && hasUntried(targets, tried);
-    return pickBest(
-            targets, random,
-            [&](const TargetSlots &target) {
-                return freeSlots(target) > 0 && !(avoidTried && tried.contains(target.id));
-            },
-            [](const TargetSlots &a, const TargetSlots &b) {
-                const int freeA = freeSlots(a);
-                const int freeB = freeSlots(b);
-                if (freeA != freeB)
-                    return freeA > freeB;
-                if (a.lastFailure != b.lastFailure)
-                    return a.lastFailure < b.lastFailure;
-                return !isReportedFull(a) && isReportedFull(b);
-            });
+    const TargetSlots *best = nullptr;
+    int bestFree = 1;
+    const auto pickAmong = [&](std::span<const TargetSlots> part) {
+        for (const TargetSlots &target : part) {
+            const int free = freeSlots(target);
+            if (free < bestFree || (avoidTried && tried.contains(target.id)))
+                continue;
+            if (best != nullptr && free == bestFree) {
+                if (target.lastFailure != best->lastFailure
+                            ? target.lastFailure > best->lastFailure
+                            : isReportedFull(target) || !isReportedFull(*best))
+                    continue;
+            }
+            best = &target;
+            bestFree = free;
+        }
+    };
+    const std::size_t start = random % targets.size();
+    pickAmong(targets.subspan(start));
+    pickAmong(targets.first(start));
+    if (best == nullptr)
+        return std::nullopt;
+    return static_cast<std::size_t>(best - targets.data());
 }
 
 std::optional<std::size_t> pickIdleTarget(std::span<const TargetSlots> targets,
--- a/chestnutvane/process/target_slots.h
+++ b/chestnutvane/process/target_slots.h
@@ -4,6 +4,7 @@
 // Not thread-safe.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -37,19 +38,21 @@
     int unknown = 0; // slots that holders not yet heard by a new broker may use
     int limit = 1; // at most this many of the slots are used now
     bool cold = true;
+    bool reserved = false; // takes no new grants until it is idle and runs a suspect alone
+    bool alone = false; // runs a suspect alone
+    int connectFailures = 0; // in a row
+    // The members above decide whether a slot is free. They fill one cache line, because the choice
+    // of a target reads them of all targets.
+
     TimePoint lastLimitChange = TimePoint::min();
     TimePoint lastShed = TimePoint::min();
 
-    int connectFailures = 0; // in a row
     TimePoint lastProbe = TimePoint::min();
     bool probing = false;
     TimePoint lastFailure = TimePoint::min();
     TimePoint lastSuccess = TimePoint::min();
     TimePoint reportedFullAt = TimePoint::min();
 
-    bool reserved = false; // takes no new grants until it is idle and runs a suspect alone
-    bool alone = false; // runs a suspect alone
-
     std::uint64_t startId = 0;
     TimePoint downAt = TimePoint::min(); // last sign of a restart
     TimePoint lastLost = TimePoint::min();
@@ -60,16 +63,30 @@
 void startCold(TargetSlots &target, TimePoint now);
 
 // Whether connect failures limit the target to probe grants.
-[[nodiscard]] bool hasFailed(const TargetSlots &target);
+[[nodiscard]] inline bool hasFailed(const TargetSlots &target)
+{
+    return target.connectFailures >= connectFailureLimit;
+}
 
 // Whether the target may get grants apart from failures and load.
-[[nodiscard]] bool isUsable(const TargetSlots &target);
+[[nodiscard]] inline bool isUsable(const TargetSlots &target)
+{
+    return !target.drained && !target.leavingByRules && !target.leavingByReport && !target.removed;
+}
 
 // Slots that may be in use now: 0 for targets that are drained, leaving, removed or failed.
-[[nodiscard]] int effectiveSlots(const TargetSlots &target);
+[[nodiscard]] inline int effectiveSlots(const TargetSlots &target)
+{
+    return isUsable(target) && !hasFailed(target) ? std::min(target.limit, target.slots) : 0;
+}
 
 // Effective slots that are free for a request that need not run alone.
-[[nodiscard]] int freeSlots(const TargetSlots &target);
+[[nodiscard]] inline int freeSlots(const TargetSlots &target)
+{
+    if (target.alone || target.reserved)
+        return 0;
+    return std::max(0, effectiveSlots(target) - target.inUse - target.unknown);
+}
 
 // What the outcome of a grant tells about crashes.
 enum class CrashSign {
