--- a/chestnutvane/operator/apply_change.h
+++ b/chestnutvane/operator/apply_change.h
@@ -73,7 +73,8 @@
     int attempts = 0; // times that the change was sent
 };
 
-// Sends the change and waits. Blocks for at most about twice the timeout.
+// Sends the change and waits. Blocks. No attempt starts after the timeout; one under way may take
+// half of the timeout and 2 s more.
 ChangeReport applyChange(OperatorClient &client, const Waiting &waiting, const Change &change);
 
 // Whether the text is UTF-8, as JSON requires.
