--- a/chestnutvane/connection/http_client_test.cc
+++ b/chestnutvane/connection/http_client_test.cc
@@ -170,23 +170,24 @@
     std::string url;
 };
 
-Echo startEcho(std::uint16_t port, std::size_t maxBody)
+Echo startEcho(std::size_t maxBody)
 {
-    auto server =
-            HttpServer::create({.address = "127.0.0.1", .port = port, .maxBodyBytes = maxBody},
-                               [](ServerRequest request, const Responder &respond) {
-                                   respond({.status = 200,
-                                            .headers = {{"Echo", request.query}},
-                                            .body = request.body,
-                                            .abort = request.path == "/cut"});
-                               });
-    return {value(std::move(server)), "http://127.0.0.1:" + std::to_string(port)};
+    auto server = HttpServer::create({.address = "127.0.0.1", .port = 0, .maxBodyBytes = maxBody},
+                                     [](ServerRequest request, const Responder &respond) {
+                                         respond({.status = 200,
+                                                  .headers = {{"Echo", request.query}},
+                                                  .body = request.body,
+                                                  .abort = request.path == "/cut"});
+                                     });
+    auto started = value(std::move(server));
+    const auto port = std::to_string(started->port());
+    return {std::move(started), "http://127.0.0.1:" + port};
 }
 
 // Guards against answers that reach the sender of another request.
 TEST(HttpClientTest, ConcurrentExchangesGetTheirOwnAnswers)
 {
-    const auto echo = startEcho(18431, 1U << 20U);
+    const auto echo = startEcho(1U << 20U);
     const auto client = makeClient();
     constexpr int count = 200;
     std::vector<std::promise<HttpResult>> promises(count);
@@ -210,7 +211,7 @@
 // that is taken in.
 TEST(HttpClientTest, CutAnswersAndLargeBodiesAreErrors)
 {
-    const auto echo = startEcho(18432, 1000);
+    const auto echo = startEcho(1000);
     const auto client = makeClient();
     const auto cut = exchange(*client, {.url = echo.url + "/cut"});
     ASSERT_FALSE(isOk(cut));
--- a/chestnutvane/connection/http_server.cc
+++ b/chestnutvane/connection/http_server.cc
@@ -93,6 +93,7 @@
     std::shared_ptr<asio::io_context> context = std::make_shared<asio::io_context>();
     std::unique_ptr<internal::Server> server;
     std::vector<std::thread> workers;
+    std::uint16_t port = 0;
 
     ~Impl()
     {
@@ -107,6 +108,11 @@
 
 HttpServer::~HttpServer() = default;
 
+std::uint16_t HttpServer::port() const
+{
+    return impl_->port;
+}
+
 Result<std::unique_ptr<HttpServer>, HttpServerError> HttpServer::create(HttpServerOptions options,
                                                                         Handler handler)
 {
@@ -134,6 +140,9 @@
     settings.address(options.address)
             .port(options.port)
             .request_handler(std::move(onRequest))
+            .acceptor_post_bind_hook([raw = impl.get()](asio::ip::tcp::acceptor &acceptor) {
+                raw->port = acceptor.local_endpoint().port();
+            })
             .incoming_http_msg_limits(limits)
             .max_parallel_connections(options.maxConnections)
             .max_pipelined_requests(1)
--- a/chestnutvane/connection/http_server.h
+++ b/chestnutvane/connection/http_server.h
@@ -48,7 +48,7 @@
 struct HttpServerOptions
 {
     std::string address = "127.0.0.1";
-    std::uint16_t port = 0;
+    std::uint16_t port = 0; // 0: chosen by the system, see HttpServer::port()
     int threads = 2;
     std::size_t maxBodyBytes = 16U << 20U;
     std::size_t maxConnections = 1024;
@@ -70,6 +70,9 @@
     // Closes the listener and all connections and joins the threads.
     ~HttpServer();
 
+    // The port of the listener.
+    [[nodiscard]] std::uint16_t port() const;
+
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
--- a/chestnutvane/connection/http_server_test.cc
+++ b/chestnutvane/connection/http_server_test.cc
@@ -8,10 +8,8 @@
 namespace chestnutvane {
 namespace {
 
-constexpr std::uint16_t port = 18433;
-
 // Sends bytes on a new connection and returns all that comes back until the server closes.
-std::string converse(const std::string &bytes)
+std::string converse(std::uint16_t port, const std::string &bytes)
 {
     asio::io_context context;
     asio::ip::tcp::socket socket(context);
@@ -30,7 +28,7 @@
     std::vector<Responder> kept_; // of requests that are never answered
     std::unique_ptr<HttpServer> server_ = value(HttpServer::create(
             {.address = "127.0.0.1",
-             .port = port,
+             .port = 0,
              .maxBodyBytes = 1000,
              .readTimeout = Milliseconds(300),
              .handleTimeout = Milliseconds(500)},
@@ -56,7 +54,7 @@
             {"POST /big HTTP/1.1\r\nHost: x\r\nContent-Length: 9000000\r\n\r\n", "HTTP/1.1 4"},
     };
     for (const auto &[request, status] : cases) {
-        const auto answer = converse(request);
+        const auto answer = converse(server_->port(), request);
         EXPECT_TRUE(answer.starts_with(status)) << answer;
         EXPECT_NE(answer.find("Vane-Outcome: not-run"), std::string::npos) << answer;
     }
@@ -66,7 +64,7 @@
 // Guards against "not-run" for a request that the handler has taken and may still run.
 TEST_F(HttpServerTest, RequestInTheHandlerIsNotSaidNotToRun)
 {
-    const auto answer = converse("GET /never HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto answer = converse(server_->port(), "GET /never HTTP/1.1\r\nHost: x\r\n\r\n");
     EXPECT_EQ(handled_, 1);
     EXPECT_EQ(answer.find("not-run"), std::string::npos) << answer;
 }
@@ -74,7 +72,7 @@
 // Guards against a refusal after a complete answer on the same connection.
 TEST_F(HttpServerTest, AnsweredRequestIsNotRefused)
 {
-    const auto answer = converse("GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto answer = converse(server_->port(), "GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
     EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
     EXPECT_EQ(answer.find("not-run"), std::string::npos) << answer;
 }
