Count the effective slots once for each queued request

Cause: with a queue each request summed the slots of all targets three times.

Change: limitQueue() sums once; nothing in it changes the targets.

The slot broker, model and policy tests pass.

--- a/chestnutvane/process/slot_broker_state.cc
+++ b/chestnutvane/process/slot_broker_state.cc
@@ -66,9 +66,8 @@
     return std::find(gone.begin(), gone.end(), holder) != gone.end();
 }
 
-Duration SlotBroker::State::estimatedWait(int level, std::size_t ahead) const
+Duration SlotBroker::State::estimatedWait(int level, std::size_t ahead, int slots) const
 {
-    const int slots = effectiveTotal();
     if (slots == 0)
         return Duration::max();
     double moreImportantRate = 0; // requests a second
@@ -194,7 +193,8 @@
 {
     const QueuedRequest &queued = queue.at(index);
     const int level = RequestQueue::levelOf(queued.request);
-    if (!rebuild.active() && effectiveTotal() == 0) {
+    const int slots = effectiveTotal();
+    if (!rebuild.active() && slots == 0) {
         refuse(index, Reason::NoTarget, effects);
         return;
     }
@@ -202,7 +202,7 @@
     if (rebuild.active())
         return;
     const Duration limit = std::min(queued.request.queueLimit, queued.endsAt - now);
-    if (estimatedWait(level, queue.sizeUpTo(level)) > limit) {
+    if (estimatedWait(level, queue.sizeUpTo(level), slots) > limit) {
         refuse(index, Reason::Overloaded, effects);
         return;
     }
@@ -211,7 +211,7 @@
         const QueuedRequest &lastQueued = queue.at(last);
         const int lastLevel = RequestQueue::levelOf(lastQueued.request);
         if (lastLevel <= level
-            || estimatedWait(lastLevel, queue.size()) <= lastQueued.expiresAt - now)
+            || estimatedWait(lastLevel, queue.size(), slots) <= lastQueued.expiresAt - now)
             return;
         refuse(last, Reason::Overloaded, effects);
     }
--- a/chestnutvane/process/slot_broker_state.h
+++ b/chestnutvane/process/slot_broker_state.h
@@ -65,7 +65,8 @@
     [[nodiscard]] bool isGone(const HolderId &holder) const;
 
     // The wait of the last of the first `ahead` requests at least as important as the level.
-    [[nodiscard]] Duration estimatedWait(int level, std::size_t ahead) const;
+    // "slots" is effectiveTotal().
+    [[nodiscard]] Duration estimatedWait(int level, std::size_t ahead, int slots) const;
     void noteArrival(int level, TimePoint now);
 
     std::uint64_t epoch;
