Read query values in one place and let tests use free ports

Change: connection/query_string; HttpServer::port() for a port that the system chose. Tests that wait for each other were ruled out: they would run longer.

--- a/chestnutvane/operator/operator_loopback_test.cc
+++ b/chestnutvane/operator/operator_loopback_test.cc
@@ -80,12 +80,8 @@
                 };
             operators_.handle(std::move(request), std::move(respond));
         };
-        // CTest runs each test in a process of its own, several at the same time.
-        for (std::uint16_t port = 18471; !server_ && port < 18571; ++port) {
-            address_ = "127.0.0.1:" + std::to_string(port);
-            if (auto server = HttpServer::create({.port = port}, handler); isOk(server))
-                server_ = std::move(value(server));
-        }
+        server_ = value(HttpServer::create({.port = 0}, handler));
+        address_ = "127.0.0.1:" + std::to_string(server_->port());
     }
 
     ~OperatorLoopbackTest() override
--- a/chestnutvane/process/caller_service.cc
+++ b/chestnutvane/process/caller_service.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "chestnutvane/connection/query_string.h"
 #include "chestnutvane/process/log.h"
 #include "chestnutvane/request/fingerprint.h"
 
@@ -47,18 +48,6 @@
     return result;
 }
 
-std::string queryValue(std::string_view query, std::string_view name)
-{
-    while (!query.empty()) {
-        const auto pair = query.substr(0, query.find('&'));
-        const auto equals = pair.find('=');
-        if (equals != std::string_view::npos && pair.substr(0, equals) == name)
-            return std::string(pair.substr(equals + 1));
-        query.remove_prefix(std::min(query.size(), pair.size() + 1));
-    }
-    return {};
-}
-
 // The deadline of a request: what the caller asks for, at most the deadline of its class.
 Result<Milliseconds, Reason> timeLimit(const ServerRequest &request, const RequestClass &found)
 {
@@ -126,8 +115,8 @@
 
 void CallerService::handleLookUp(const ServerRequest &request, const Responder &respond)
 {
-    const auto service = internal::queryValue(request.query, "service");
-    auto client = internal::queryValue(request.query, "client");
+    const auto service = queryValue(request.query, "service");
+    auto client = queryValue(request.query, "client");
     if (client.empty())
         client = request.remoteAddress;
     const auto found = members_.mayTakeWork() ? lookUps_.lookUp(service, client)
--- a/chestnutvane/process/operator_service.cc
+++ b/chestnutvane/process/operator_service.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
+#include "chestnutvane/connection/query_string.h"
 #include "chestnutvane/version/rule_parser.h"
 
 namespace chestnutvane {
@@ -32,18 +33,6 @@
     return {.status = status, .headers = {{"Content-Type", "text/plain"}}, .body = std::move(text)};
 }
 
-std::string queryValue(std::string_view query, std::string_view name)
-{
-    while (!query.empty()) {
-        const auto pair = query.substr(0, query.find('&'));
-        const auto equals = pair.find('=');
-        if (equals != std::string_view::npos && pair.substr(0, equals) == name)
-            return std::string(pair.substr(equals + 1));
-        query.remove_prefix(std::min(query.size(), pair.size() + 1));
-    }
-    return {};
-}
-
 std::optional<std::uint64_t> toRevision(std::string_view text)
 {
     std::uint64_t number = 0;
@@ -232,8 +221,8 @@
 
 void OperatorService::change(const ServerRequest &request, Responder respond)
 {
-    const auto id = internal::queryValue(request.query, "id");
-    const auto baseText = internal::queryValue(request.query, "base");
+    const auto id = queryValue(request.query, "id");
+    const auto baseText = queryValue(request.query, "base");
     const auto base = internal::toRevision(baseText);
     if (id.empty() || (!baseText.empty() && !base)) {
         respond(internal::jsonResponse(
@@ -266,8 +255,8 @@
 
 void OperatorService::explain(const ServerRequest &request, const Responder &respond)
 {
-    const auto service = internal::queryValue(request.query, "service");
-    const auto client = internal::queryValue(request.query, "client");
+    const auto service = queryValue(request.query, "service");
+    const auto client = queryValue(request.query, "client");
     const auto answer = lookUps_.lookUp(service, client);
     if (!isOk(answer)) {
         respond(internal::jsonResponse(internal::badRequest,
--- a/testing/target_standin.cc
+++ b/testing/target_standin.cc
@@ -21,6 +21,7 @@
 
 #include "chestnutvane/base/hash.h"
 #include "chestnutvane/connection/http_server.h"
+#include "chestnutvane/connection/query_string.h"
 #include "chestnutvane/process/workers.h"
 
 namespace chestnutvane {
@@ -70,15 +71,6 @@
         std::optional<double> load;
     };
 
-    static std::string queryValue(const std::string &query, const std::string &name)
-    {
-        const auto at = ("&" + query).find("&" + name + "=");
-        if (at == std::string::npos)
-            return {};
-        const auto begin = at + name.size() + 1;
-        return query.substr(begin, query.find('&', begin) - begin);
-    }
-
     ServerResponse health()
     {
         const std::lock_guard lock(mutex_);
