Send no lists for idle units and keep the isolation verdict

Cause: every instance sent a list of held grants for every unit each 200 ms, also an empty one: 386 KB/s at a broker with 830 instances. Every look-up and request copied all member records to judge isolation: 18% of a core at 830.

Change: lists go to units used within 2 s or with grants held; the heartbeat timer judges isolation, and a look-up does so only when the timer is late, as after a pause. Lists on change only were ruled out: a lost one would not be repeated.

--- a/chestnutvane/process/grant_service.cc
+++ b/chestnutvane/process/grant_service.cc
@@ -6,6 +6,8 @@
 
 constexpr Milliseconds brokerRetryInterval{50};
 constexpr Milliseconds releaseTimeout{1000};
+// Ten lists at the usual period; also covers a broker that was taken over in the meantime.
+constexpr Milliseconds listedFor{2000};
 // A broker answers within the queue limit; the rest is for the way there and back.
 constexpr Milliseconds answerSlack{500};
 
@@ -59,6 +61,7 @@
         return grants.startRequest(ask->unit, ask->wish.fingerprint, now, remaining);
     });
     message.request.sequence = ask->sequence;
+    noteUse(ask->wish.service, ask->wish.region);
     if (location->local) {
         brokers_.request(message, [this, ask](GrantAnswer answer) { onAnswer(ask, answer); });
         return;
@@ -161,6 +164,7 @@
 void GrantService::sendRelease(const std::string &service, const std::string &region,
                                const GrantRelease &message)
 {
+    noteUse(service, region);
     const auto location = brokers_.locate(service, region);
     if (!location)
         return;
@@ -171,26 +175,37 @@
                               internal::releaseTimeout, [](Result<std::string, PeerError>) {});
 }
 
+void GrantService::noteUse(const std::string &service, const std::string &region)
+{
+    const std::lock_guard lock(usedMutex_);
+    used_[unitIdOf(service, region)] = {service, region, Clock::now()};
+}
+
 void GrantService::sendHeldLists()
 {
-    const auto version = instance_.version();
-    if (!version)
-        return;
-    for (const auto &service : version->rules.services) {
-        for (const auto &region : version->rules.regions) {
-            const auto location = brokers_.locate(service.name, region.name);
-            if (!location)
-                continue;
-            const auto list = instance_.grants.use([&](GrantHolder &grants) {
-                return grants.heldList(unitIdOf(service.name, region.name), Clock::now());
-            });
-            if (location->local)
-                brokers_.heldReport(list);
-            else
-                instance_.peers->call(location->peerAddress, "grants-held", encode(list),
-                                      internal::releaseTimeout,
-                                      [](Result<std::string, PeerError>) {});
+    const auto now = Clock::now();
+    std::map<UnitId, UsedUnit> units;
+    {
+        const std::lock_guard lock(usedMutex_);
+        units = used_;
+    }
+    for (const auto &[id, unit] : units) {
+        const auto list = instance_.grants.use(
+                [&, unitId = id](GrantHolder &grants) { return grants.heldList(unitId, now); });
+        if (list.held.empty() && list.waiting.empty() && now - unit.lastUse > internal::listedFor) {
+            const std::lock_guard lock(usedMutex_);
+            if (used_[id].lastUse == unit.lastUse)
+                used_.erase(id);
+            continue;
         }
+        const auto location = brokers_.locate(unit.service, unit.region);
+        if (!location)
+            continue;
+        if (location->local)
+            brokers_.heldReport(list);
+        else
+            instance_.peers->call(location->peerAddress, "grants-held", encode(list),
+                                  internal::releaseTimeout, [](Result<std::string, PeerError>) {});
     }
 }
 
--- a/chestnutvane/process/grant_service.h
+++ b/chestnutvane/process/grant_service.h
@@ -9,7 +9,9 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 
 #include "chestnutvane/process/broker_service.h"
@@ -30,11 +32,21 @@
     // Ends a grant. A release that is lost is made good by the next list of held grants.
     void release(const HeldSlot &slot, GrantResult result, Duration serviceTime);
 
-    // Sends the lists of held grants to the brokers of all units; call with each heartbeat.
+    // Sends the lists of held grants to the brokers of all units that this instance used within
+    // listedFor; call with each heartbeat. A broker takes a lost grant back after two lists, so an
+    // idle unit needs no further ones.
     void sendHeldLists();
 
 private:
     struct Ask;
+    struct UsedUnit
+    {
+        std::string service;
+        std::string region;
+        TimePoint lastUse;
+    };
+
+    void noteUse(const std::string &service, const std::string &region);
 
     void tryBroker(const std::shared_ptr<Ask> &ask);
     void retryLater(const std::shared_ptr<Ask> &ask);
@@ -45,6 +57,8 @@
 
     Instance &instance_;
     BrokerService &brokers_;
+    std::mutex usedMutex_; // guards used_ only; no other lock is taken under it
+    std::map<UnitId, UsedUnit> used_;
 };
 
 } // namespace chestnutvane
--- a/chestnutvane/process/member_service.cc
+++ b/chestnutvane/process/member_service.cc
@@ -126,7 +126,7 @@
                               });
     }
     grants_.sendHeldLists();
-    mayTakeWork();
+    judgeIsolation();
     logChanges();
 }
 
@@ -189,6 +189,19 @@
 }
 
 bool MemberService::mayTakeWork()
+{
+    // The heartbeat timer keeps the verdict; it is made anew only if the timer is late, as after a
+    // pause of the process. Making it copies all member records.
+    const auto now = Clock::now();
+    const auto kept = instance_.membership.use([&](MembershipState &state) {
+        const bool late =
+                now - state.lastBeat > instance_.settings.heartbeat * (internal::stallPeriods + 1);
+        return late ? std::nullopt : std::optional(!state.isolated);
+    });
+    return kept ? *kept : judgeIsolation();
+}
+
+bool MemberService::judgeIsolation()
 {
     const auto now = Clock::now();
     const IsolationLimits limits{.isolatedAfter = instance_.settings.isolationLimit,
--- a/chestnutvane/process/member_service.h
+++ b/chestnutvane/process/member_service.h
@@ -39,10 +39,12 @@
     // Ends the lease and calls back when the store has answered or cannot be reached.
     void endLease(std::function<void()> done);
 
-    // Whether new work may be taken; logs each change.
+    // Whether new work may be taken.
     bool mayTakeWork();
 
 private:
+    // Decides whether this instance is isolated and logs each change; false if it is.
+    bool judgeIsolation();
     void beat();
     void receive(const Heartbeat &heartbeat);
     void refreshSelf();
