--- a/chestnutvane/request/request_flow.cc
+++ b/chestnutvane/request/request_flow.cc
@@ -12,6 +12,9 @@
 constexpr int unavailable = 503;
 constexpr int gatewayTimeout = 504;
 
+// The shortest time for which an exchange is begun; timeouts of exchanges are whole milliseconds.
+constexpr Milliseconds minExchangeTime{1};
+
 } // namespace
 } // namespace internal
 
@@ -80,6 +83,12 @@
     return request_.requestClass.repeat == Repeat::AtMostOnce;
 }
 
+bool RequestFlow::isInProgress(std::size_t index)
+{
+    const std::lock_guard lock(mutex_);
+    return !finished_ && !attempts_[index].done;
+}
+
 void RequestFlow::askGrant(bool hedge)
 {
     GrantWish wish;
@@ -111,7 +120,8 @@
     bool unused = false;
     {
         const std::lock_guard lock(mutex_);
-        unused = finished_ || services_.now() >= request_.deadline;
+        const auto endsAt = std::min(slot.endsAt, request_.deadline);
+        unused = finished_ || endsAt - services_.now() < internal::minExchangeTime;
     }
     if (unused) {
         services_.release(slot, GrantResult::NotSent, Duration::zero());
@@ -167,8 +177,9 @@
 HttpRequest RequestFlow::exchangeRequest(std::size_t index, const HeldSlot &slot)
 {
     const auto endsAt = std::min(slot.endsAt, request_.deadline);
-    const auto remaining = std::max(
-            std::chrono::duration_cast<Milliseconds>(endsAt - services_.now()), Milliseconds(1));
+    const auto remaining =
+            std::max(std::chrono::duration_cast<Milliseconds>(endsAt - services_.now()),
+                     internal::minExchangeTime);
     HttpRequest exchange;
     exchange.method = request_.method;
     exchange.url = "http://" + slot.targetAddress + request_.path;
@@ -193,18 +204,18 @@
 
 void RequestFlow::onSilence(std::size_t index)
 {
+    if (!isInProgress(index))
+        return;
     HeldSlot slot;
     {
         const std::lock_guard lock(mutex_);
-        if (finished_ || attempts_[index].done)
-            return;
         slot = attempts_[index].slot;
     }
-    services_.probe(slot, [self = shared_from_this(), slot](bool answered) {
+    services_.probe(slot, [self = shared_from_this(), slot, index](bool answered) {
         if (!answered)
             return; // the target itself is at fault; the exchange ends by its own means
         self->services_.abandonConnections(slot);
-        if (!self->isAtMostOnce())
+        if (!self->isAtMostOnce() && self->isInProgress(index))
             self->askGrant(true);
     });
 }
--- a/chestnutvane/request/request_flow.h
+++ b/chestnutvane/request/request_flow.h
@@ -135,6 +135,7 @@
     void cancelOthers(std::size_t winner);
     HttpRequest exchangeRequest(std::size_t index, const HeldSlot &slot);
     bool isAtMostOnce() const;
+    bool isInProgress(std::size_t index);
 
     RequestServices services_;
     IncomingRequest request_;
