--- a/testing/target_standin.cc
+++ b/testing/target_standin.cc
@@ -7,6 +7,9 @@
 //
 // Control: POST /control with JSON {"silent": bool, "leaving": bool, "load": number or null,
 // "shed": bool, "refuse-after-read": bool}; GET /control/records returns the runs.
+//
+// With --log-runs it prints "run MS TAG" at the start of each run and "crash MS TAG" before it
+// crashes, with the time on the monotonic clock. These lines outlive the process.
 
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
@@ -35,8 +38,14 @@
     int slots = 3;
     Milliseconds coldTime{0};
     std::string name;
+    bool logRuns = false;
 };
 
+std::int64_t monotonicMs()
+{
+    return std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch()).count();
+}
+
 class TargetStandin
 {
 public:
@@ -121,9 +130,11 @@
 
     void run(ServerRequest request, Responder respond)
     {
-        if (queryValue(request.query, "crash") == "1")
-            std::_Exit(3);
         const auto tag = queryValue(request.query, "tag");
+        if (queryValue(request.query, "crash") == "1") {
+            logLine("crash", tag);
+            std::_Exit(3);
+        }
         Milliseconds work{0};
         if (const auto text = queryValue(request.query, "work-ms"); !text.empty())
             work = Milliseconds(std::stol(text));
@@ -141,6 +152,7 @@
                 ++aboveSlots_;
             if (!tag.empty())
                 ++byTag_[tag];
+            logLine("run", tag);
             lastStartMs_ = sinceStart();
         }
         if (sinceStart() < options_.coldTime.count())
@@ -157,8 +169,7 @@
         {
             const std::lock_guard lock(mutex_);
             --running_;
-            lastEndMs_ = std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch())
-                                 .count();
+            lastEndMs_ = monotonicMs();
             silent = switches_.silent;
         }
         if (silent)
@@ -177,6 +188,12 @@
         respond({.status = 200, .headers = std::move(headers), .body = std::move(body)});
     }
 
+    void logLine(std::string_view what, const std::string &tag) const
+    {
+        if (options_.logRuns)
+            std::cout << fmt::format("{} {} {}\n", what, monotonicMs(), tag) << std::flush;
+    }
+
     std::int64_t sinceStart() const
     {
         return std::chrono::duration_cast<Milliseconds>(Clock::now() - startedAt_).count();
@@ -208,9 +225,11 @@
     const TCLAP::ValueArg<int> cold("", "cold-ms", "Time with cold caches after the start", false,
                                     0, "ms", command);
     const TCLAP::ValueArg<std::string> name("", "name", "Name", false, "target", "name", command);
+    const TCLAP::SwitchArg logRuns("", "log-runs", "Print each run", command);
     command.parse(argc, argv);
-    return {address.getValue(), static_cast<std::uint16_t>(port.getValue()), slots.getValue(),
-            Milliseconds(cold.getValue()), name.getValue()};
+    return {address.getValue(), static_cast<std::uint16_t>(port.getValue()),
+            slots.getValue(),   Milliseconds(cold.getValue()),
+            name.getValue(),    logRuns.getValue()};
 }
 
 int serve(const Options &options)
