Test store outages and racing changes with real processes

Cause: these failures had been tested only against fakes.

The store stand-in now closes waiting watches instead of answering them while it is down: leases that lapsed in the outage answered the watches of "instance/", so instances believed that the store was back, and brokers without a lease stopped granting. Ruled out: a change of the daemon, because a store that is down for all sends no answers.

--- a/testing/fault_load.cc
+++ b/testing/fault_load.cc
@@ -219,13 +219,29 @@
 
 std::string summary(const std::vector<CallRecord> &calls)
 {
-    std::map<std::string, int> counts;
-    for (const auto &call : calls)
-        ++counts[fmt::format("outcome={} status={} reason={}", call.outcome, call.status,
-                             call.reason)];
+    struct Group
+    {
+        int count = 0;
+        TimePoint first = TimePoint::max();
+        TimePoint last = TimePoint::min();
+    };
+    std::map<std::string, Group> groups;
+    auto start = TimePoint::max();
+    for (const auto &call : calls) {
+        auto &group = groups[fmt::format("outcome={} status={} reason={}", call.outcome,
+                                         call.status, call.reason)];
+        ++group.count;
+        group.first = std::min(group.first, call.startedAt);
+        group.last = std::max(group.last, call.startedAt);
+        start = std::min(start, call.startedAt);
+    }
+    const auto sinceStart = [start](TimePoint time) {
+        return std::chrono::duration_cast<Milliseconds>(time - start).count();
+    };
     std::string text;
-    for (const auto &[name, count] : counts)
-        text += fmt::format("{}: {}\n", name, count);
+    for (const auto &[name, group] : groups)
+        text += fmt::format("{}: {} calls, begun {} to {} ms after the first\n", name, group.count,
+                            sinceStart(group.first), sinceStart(group.last));
     return text;
 }
 
--- a/testing/store_routes.cc
+++ b/testing/store_routes.cc
@@ -166,8 +166,10 @@
         const auto wait = Milliseconds(std::stol("0" + queryValue(request.query, "wait-ms")));
         store_.watch(queryValue(request.query, "prefix"),
                      std::stoull("0" + queryValue(request.query, "after")), Clock::now() + wait,
-                     [respond](const WatchResult &result) {
-                         respond(jsonResponse(200, toJson(result)));
+                     [this, respond](const WatchResult &result) { // runs under the lock
+                         // A lease that lapses in an outage must not give waiting watches news.
+                         respond(faults_.down ? ServerResponse{.abort = true}
+                                              : jsonResponse(200, toJson(result)));
                      });
     }
 
