Let runs outlast the lease in the slot test

Cause: with the new broker's count of unreported slots taken out, the test still passed: all runs had ended before a lease lapsed.

Change: a third class of requests whose runs take 9 s, above the lease of 5 s.

--- a/testing/fault_load.cc
+++ b/testing/fault_load.cc
@@ -27,6 +27,8 @@
             "queue-ms=500 silence-ms=300 # asked by Ada\n"
             "class orders service=shop path=/orders repeat=at-most-once importance=0 "
             "deadline-ms=3000 queue-ms=500 silence-ms=300 # asked by Ada\n"
+            "class reports service=shop path=/reports repeat=idempotent importance=2 "
+            "deadline-ms=20000 queue-ms=500 silence-ms=15000 # asked by Ada\n"
             "clients 0.0.0.0/0 regions=north:50,south:50 # asked by Ada\n";
     constexpr const char *zones[] = {"n-a", "n-b", "n-a", "s-a", "s-b", "s-a"};
     for (int i = 0; i < 6; ++i)
--- a/testing/fault_load.h
+++ b/testing/fault_load.h
@@ -32,8 +32,9 @@
 };
 
 // A deployment of instances i1 and i2 (region north), i3 and i4 (south), targets t-1 to t-3 (north)
-// and t-4 to t-6 (south), with service "shop" and classes "/views" (idempotent) and "/orders" (at
-// most once). Logs go to a folder of its own that is emptied at the start.
+// and t-4 to t-6 (south), with service "shop" and classes "/views" (idempotent), "/orders" (at
+// most once) and "/reports" (idempotent, up to 20 s). Logs go to a folder of its own that is
+// emptied at the start.
 class FaultWorld
 {
 public:
--- a/testing/target_fault_test.cc
+++ b/testing/target_fault_test.cc
@@ -98,6 +98,13 @@
                  .atMostOnce = true,
                  .threads = 10,
                  .prefix = "o"});
+    // Runs that outlast the lease are still on their targets when a new broker takes the role.
+    Load reports(deployment,
+                 {.path = "/reports",
+                  .query = "work-ms=9000",
+                  .sendTimeout = Milliseconds(21'000),
+                  .threads = 6,
+                  .prefix = "r"});
     sleep_for(Milliseconds(3000));
     const auto frozen = brokerOf(deployment, "north");
     const auto killed = brokerOf(deployment, "south");
@@ -111,6 +118,7 @@
     sleep_for(Milliseconds(4000));
     const auto viewCalls = views.stop();
     const auto orderCalls = orders.stop();
+    const auto reportCalls = reports.stop();
     std::uint64_t above = 0;
     std::uint64_t runs = 0;
     int mostRunning = 0;
@@ -120,7 +128,7 @@
         mostRunning = std::max(mostRunning, record.mostRunning);
     }
     std::cout << runs << " runs, " << above << " above slots\n"
-              << summary(viewCalls) << summary(orderCalls);
+              << summary(viewCalls) << summary(orderCalls) << summary(reportCalls);
     EXPECT_EQ(above, 0U);
     EXPECT_EQ(mostRunning, 3) << "the load never filled a target";
     EXPECT_GT(runs, 1000U);
