--- a/chestnutvane/process/broker_service.cc
+++ b/chestnutvane/process/broker_service.cc
@@ -609,6 +609,12 @@
 void BrokerService::onProbe(UnitId unit, TargetId target,
                             const Result<HttpResponse, HttpError> &result)
 {
+    if (!isOk(result) && error(result).failure == HttpFailure::ConnectFailed) {
+        withBroker(unit, [&](Unit &entry, TimePoint now, BrokerEffects &effects) {
+            entry.broker->probeRefused(target, now, effects);
+        });
+        return;
+    }
     if (!isOk(result) || value(result).status != 200)
         return; // silence says nothing about the load
     TargetReport report{.target = target, .age = Milliseconds(0)};
--- a/testing/target_standin.cc
+++ b/testing/target_standin.cc
@@ -6,7 +6,13 @@
 // and the body's digest come back in the answer, so that the sender can tell crossed answers.
 //
 // Control: POST /control with JSON {"silent": bool, "leaving": bool, "load": number or null,
-// "shed": bool, "refuse-after-read": bool}; GET /control/records returns the runs.
+// "shed": bool, "silence-open": true}; GET /control/records returns the runs.
+//
+// "silence-open" takes the connections that have carried a run so far: they stay open and carry no
+// further answer, while new connections work.
+//
+// With --log-runs it prints "run MS TAG" at the start of each run and "crash MS TAG" before it
+// crashes, with the time on the monotonic clock. These lines outlive the process.
 
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
@@ -18,6 +24,7 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "chestnutvane/base/hash.h"
 #include "chestnutvane/connection/http_server.h"
@@ -36,8 +43,14 @@
     int slots = 3;
     Milliseconds coldTime{0};
     std::string name;
+    bool logRuns = false;
 };
 
+std::int64_t monotonicMs()
+{
+    return std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch()).count();
+}
+
 class TargetStandin
 {
 public:
@@ -87,6 +100,8 @@
             return {.status = 400};
         const std::lock_guard lock(mutex_);
         switches_.silent = change.value("silent", switches_.silent);
+        if (change.value("silence-open", false))
+            silencedConnections_.merge(openConnections_);
         switches_.leaving = change.value("leaving", switches_.leaving);
         switches_.shed = change.value("shed", switches_.shed);
         if (const auto load = change.find("load"); load != change.end())
@@ -113,9 +128,11 @@
 
     void run(ServerRequest request, Responder respond)
     {
-        if (queryValue(request.query, "crash") == "1")
-            std::_Exit(3);
         const auto tag = queryValue(request.query, "tag");
+        if (queryValue(request.query, "crash") == "1") {
+            logLine("crash", tag);
+            std::_Exit(3);
+        }
         Milliseconds work{0};
         if (const auto text = queryValue(request.query, "work-ms"); !text.empty())
             work = Milliseconds(std::stol(text));
@@ -126,6 +143,7 @@
                 respond({.status = 503, .headers = {{"Vane-Not-Run", "1"}}});
                 return;
             }
+            openConnections_.insert(request.remotePort);
             ++runs_;
             ++running_;
             mostRunning_ = std::max(mostRunning_, running_);
@@ -133,6 +151,7 @@
                 ++aboveSlots_;
             if (!tag.empty())
                 ++byTag_[tag];
+            logLine("run", tag);
             lastStartMs_ = sinceStart();
         }
         if (sinceStart() < options_.coldTime.count())
@@ -149,9 +168,10 @@
         {
             const std::lock_guard lock(mutex_);
             --running_;
-            lastEndMs_ = std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch())
-                                 .count();
-            silent = switches_.silent;
+            lastEndMs_ = monotonicMs();
+            silent = switches_.silent || silencedConnections_.contains(request.remotePort);
+            if (silent) // the server closes a connection whose responder is gone
+                heldBack_.push_back(respond);
         }
         if (silent)
             return; // the connection stays open without an answer
@@ -169,6 +189,12 @@
         respond({.status = 200, .headers = std::move(headers), .body = std::move(body)});
     }
 
+    void logLine(std::string_view what, const std::string &tag) const
+    {
+        if (options_.logRuns)
+            std::cout << fmt::format("{} {} {}\n", what, monotonicMs(), tag) << std::flush;
+    }
+
     std::int64_t sinceStart() const
     {
         return std::chrono::duration_cast<Milliseconds>(Clock::now() - startedAt_).count();
@@ -188,6 +214,9 @@
     std::int64_t lastStartMs_ = 0; // since the start of the process
     std::int64_t lastEndMs_ = 0; // on the monotonic clock, which all processes share
     std::map<std::string, int> byTag_;
+    std::vector<Responder> heldBack_;
+    std::set<std::uint16_t> openConnections_; // by the sender's port
+    std::set<std::uint16_t> silencedConnections_;
 };
 
 Options parseOptions(int argc, char **argv)
@@ -200,9 +229,11 @@
     const TCLAP::ValueArg<int> cold("", "cold-ms", "Time with cold caches after the start", false,
                                     0, "ms", command);
     const TCLAP::ValueArg<std::string> name("", "name", "Name", false, "target", "name", command);
+    const TCLAP::SwitchArg logRuns("", "log-runs", "Print each run", command);
     command.parse(argc, argv);
-    return {address.getValue(), static_cast<std::uint16_t>(port.getValue()), slots.getValue(),
-            Milliseconds(cold.getValue()), name.getValue()};
+    return {address.getValue(), static_cast<std::uint16_t>(port.getValue()),
+            slots.getValue(),   Milliseconds(cold.getValue()),
+            name.getValue(),    logRuns.getValue()};
 }
 
 int serve(const Options &options)
