--- a/chestnutvane/connection/http_client.cc
+++ b/chestnutvane/connection/http_client.cc
@@ -357,8 +357,6 @@
             if (exchange->request.silenceLimit.count() <= 0 || exchange->silenceReported
                 || exchange->firstByteSeen)
                 continue;
-            if (exchange->requestStarted && !exchange->reusedConnection)
-                continue;
             watching = true;
             if (exchange->requestStarted
                 && now - exchange->requestStart >= exchange->request.silenceLimit) {
--- a/chestnutvane/connection/http_client.h
+++ b/chestnutvane/connection/http_client.h
@@ -43,8 +43,9 @@
     // itself when a reused connection closes before the first byte of the answer, POST included.
     bool freshConnection = false;
     std::size_t maxResponseBytes = 16U << 20U;
-    // If positive and the connection is a reused one, onSilence is called once when no byte of the
-    // answer has come for this long. The exchange goes on.
+    // If positive, onSilence is called once when no byte of the answer has come for this long after
+    // the request started. The exchange goes on. New connections are watched as well: one may go
+    // silent right after it was opened.
     Milliseconds silenceLimit{0};
     std::function<void()> onSilence;
 };
--- a/chestnutvane/connection/http_server.cc
+++ b/chestnutvane/connection/http_server.cc
@@ -150,7 +150,7 @@
             .read_next_http_message_timelimit(options.readTimeout)
             .handle_request_timeout(options.handleTimeout)
             .write_http_response_timelimit(options.handleTimeout)
-            .separate_accept_and_create_connect(true);
+            .separate_accept_and_create_connect(false);
     try {
         impl->server = std::make_unique<internal::Server>(
                 restinio::external_io_context(*impl->context), std::move(settings));
--- a/chestnutvane/process/broker_service.h
+++ b/chestnutvane/process/broker_service.h
@@ -10,7 +10,6 @@
 // Thread-safe.
 #pragma once
 
-#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,6 +21,7 @@
 #include "chestnutvane/process/broker_role.h"
 #include "chestnutvane/process/crash_suspects.h"
 #include "chestnutvane/process/instance.h"
+#include "chestnutvane/process/shared_snapshot.h"
 #include "chestnutvane/process/slot_broker.h"
 
 namespace chestnutvane {
@@ -135,7 +135,7 @@
 
     Instance &instance_;
     Guarded<State, LockRank::Broker> state_;
-    std::atomic<std::shared_ptr<const RemoteBrokers>> remote_;
+    SharedSnapshot<RemoteBrokers> remote_;
 };
 
 } // namespace chestnutvane
--- a/chestnutvane/process/look_up_service.h
+++ b/chestnutvane/process/look_up_service.h
@@ -10,13 +10,13 @@
 // wait for no lock that a change of the configuration or of the members holds.
 #pragma once
 
-#include <atomic>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/process/instance.h"
+#include "chestnutvane/process/shared_snapshot.h"
 #include "chestnutvane/request/outcome.h"
 #include "chestnutvane/version/entry_choice.h"
 
@@ -74,7 +74,7 @@
     std::shared_ptr<const RoutingSnapshot> snapshot();
 
     Instance &instance_;
-    std::atomic<std::shared_ptr<const RoutingSnapshot>> snapshot_;
+    SharedSnapshot<RoutingSnapshot> snapshot_;
 };
 
 } // namespace chestnutvane
--- a/chestnutvane/request/request_flow.cc
+++ b/chestnutvane/request/request_flow.cc
@@ -215,11 +215,18 @@
         if (!answered)
             return; // the target itself is at fault; the exchange ends by its own means
         self->services_.abandonConnections(slot);
-        if (!self->isAtMostOnce() && self->isInProgress(index))
+        if (!self->isAtMostOnce() && self->isInProgress(index) && self->mayHedge())
             self->askGrant(true);
     });
 }
 
+bool RequestFlow::mayHedge()
+{
+    const std::lock_guard lock(mutex_);
+    return services_.mayRetry(request_.requestClass, withAttempt(history_, Outcome::Unknown),
+                              request_.deadline - services_.now());
+}
+
 void RequestFlow::onExchange(std::size_t index, ExchangeResult result)
 {
     const auto verdict = judgeExchange(result, request_.id);
--- a/chestnutvane/request/request_flow.h
+++ b/chestnutvane/request/request_flow.h
@@ -136,6 +136,9 @@
     void beginAttempt(HeldSlot slot);
     void onExchange(std::size_t index, ExchangeResult result);
     void onSilence(std::size_t index);
+    // Takes one retry from the budget for an attempt beside a silent one: slow answers of a whole
+    // service must not double its load.
+    bool mayHedge();
     void onAnswer(std::size_t index, HttpResponse response);
     void onFailure(std::size_t index, Outcome outcome, Reason reason);
     void finish(FlowResult result);
