Split the broker and caller services; put region caps into force

Cause: two files had grown to about 600 lines with several jobs each, the two stand-ins repeated their signal handling, and "cap region" rules limited nothing because the cap was an option of the whole table.

A class of its own for roles was ruled out for now: it would share the broker table and its lock.

--- a/chestnutvane/process/broker_service.cc
+++ b/chestnutvane/process/broker_service.cc
@@ -1,29 +1,18 @@
 #include "chestnutvane/process/broker_service.h"
 
-#include <nlohmann/json.hpp>
-
-#include "chestnutvane/base/hash.h"
 #include "chestnutvane/process/log.h"
+#include "chestnutvane/process/target_health.h"
 
 namespace chestnutvane {
 namespace internal {
 namespace {
 
-constexpr std::string_view rolePrefix = "broker/";
-constexpr std::string_view leasePrefix = "instance/";
 constexpr Milliseconds roleInterval{250};
 constexpr Milliseconds brokerTick{10};
 constexpr Milliseconds rebuildInterval{200};
 constexpr Milliseconds probeInterval{500};
 constexpr Milliseconds probeTimeout{400};
-constexpr Milliseconds watchPause{500}; // after a failed watch, so that an outage is not hammered
 constexpr Milliseconds peerTimeout{1000};
-constexpr Milliseconds remoteBrokersAge{20}; // copying all members for each request is too slow
-
-std::string roleKey(const std::string &service, const std::string &region)
-{
-    return std::string(rolePrefix) + service + "/" + region;
-}
 
 } // namespace
 } // namespace internal
@@ -47,224 +36,6 @@
         callback(answer);
 }
 
-void BrokerService::watchRoles(std::optional<std::uint64_t> afterVersion)
-{
-    instance_.watchStore(
-            std::string(internal::rolePrefix), afterVersion,
-            [this, afterVersion](Result<WatchResult, StoreError> result) {
-                if (!isOk(result)) {
-                    instance_.workers->after(internal::watchPause,
-                                             [this, afterVersion] { watchRoles(afterVersion); });
-                    return;
-                }
-                state_.use([&](State &state) {
-                    state.rolesKnown = true;
-                    state.entries.clear();
-                    for (const auto &entry : value(result).entries) {
-                        if (auto record = decodeBrokerRecord(entry.value); isOk(record))
-                            state.entries[entry.key] = {entry.version, value(record)};
-                    }
-                });
-                instance_.workers->post([this, next = value(result).version] {
-                    decideRoles();
-                    watchRoles(next);
-                });
-            });
-}
-
-void BrokerService::watchLeases(std::optional<std::uint64_t> afterVersion)
-{
-    instance_.watchStore(std::string(internal::leasePrefix), afterVersion,
-                         [this, afterVersion](Result<WatchResult, StoreError> result) {
-                             instance_.noteStoreCall(isStoreAnswer(result), Clock::now());
-                             if (!isOk(result)) {
-                                 instance_.workers->after(
-                                         internal::watchPause,
-                                         [this, afterVersion] { watchLeases(afterVersion); });
-                                 return;
-                             }
-                             state_.use([&](State &state) {
-                                 state.leasesKnown = true;
-                                 state.leasedIncarnations.clear();
-                                 for (const auto &entry : value(result).entries)
-                                     state.leasedIncarnations.insert(entry.value);
-                             });
-                             instance_.workers->post(
-                                     [this, next = value(result).version] { watchLeases(next); });
-                         });
-}
-
-void BrokerService::decideRoles()
-{
-    const auto version = instance_.version();
-    if (!version)
-        return;
-    const auto now = Clock::now();
-    const auto region = regionOfZone(*version, instance_.settings.zone);
-    RoleInput input;
-    std::vector<RoleMember> members;
-    instance_.membership.use([&](MembershipState &state) {
-        input.selfId = instance_.settings.instanceId;
-        input.selfIncarnation = instance_.holderId;
-        input.selfLeaving = state.leaving;
-        input.storeReachable = state.store.reachable;
-        input.storeReachableSince = state.store.reachableSince;
-        input.leaseRenewalStart = state.store.renewalStart;
-        input.leaseEverHeld = state.store.leaseEverHeld;
-        input.leaseLost = state.store.leaseLost;
-        input.isolated = state.isolated;
-        const auto view = contactView(state, now);
-        const IsolationLimits limits;
-        for (const auto &peer : view.peers)
-            input.peerReportsStoreContact |= peer.heardAge <= limits.peerSilence
-                    && peer.storeContactAge && *peer.storeContactAge <= limits.presentContact;
-        for (const auto &member : state.table.members(now)) {
-            const bool self = member.record.id == instance_.settings.instanceId;
-            if (regionOfZone(*version, member.record.zone) != region)
-                continue;
-            members.push_back(
-                    {.instanceId = member.record.id,
-                     .incarnation = holderIdOf(member.record.incarnation),
-                     .live = self || member.status == MemberStatus::Serving,
-                     .leaving = self ? state.leaving : member.status == MemberStatus::Leaving});
-        }
-    });
-    input.members = members;
-    Answers answers;
-    std::vector<CompareAndSwap> writes;
-    bool holdsAny = false;
-    bool opened = false;
-    state_.use([&](State &state) {
-        if (state.suspectsRegion != region) {
-            state.suspectsRegion = region;
-            state.suspects = CrashSuspects(instance_.holderId, region);
-        }
-        for (const auto &service : version->rules.services) {
-            const auto id = unitIdOf(service.name, region);
-            if (!state.units.contains(id) && targetsOfUnit(*version, service.name, region).empty())
-                continue;
-            auto &unit = state.units[id];
-            unit.service = service.name;
-            unit.region = region;
-            if (state.rolesKnown) {
-                const auto entry = state.entries.find(internal::roleKey(service.name, region));
-                unit.entry = entry == state.entries.end() ? RoleEntry{} : entry->second;
-            }
-            input.holderLeaseGone = false;
-            if (unit.entry && state.leasesKnown) {
-                const auto &record = unit.entry->record;
-                const auto incarnation =
-                        formatIncarnation(record.incarnation.high, record.incarnation.low);
-                input.holderLeaseGone = !state.leasedIncarnations.contains(incarnation);
-            }
-            const bool held = unit.broker.has_value();
-            decideRole(state, unit, *version, input, now, answers, writes);
-            opened |= !held && unit.broker.has_value();
-            if (unit.broker)
-                refreshTargets(state, unit, *version, now, answers);
-            holdsAny |= unit.broker.has_value();
-        }
-        state.suspects.expire(now);
-    });
-    if (!holdsAny)
-        instance_.membership.use([](MembershipState &state) { state.store.leaseLost = false; });
-    give(answers);
-    if (opened)
-        askForReports(); // the unit grants nothing until all holders have reported
-    for (auto &write : writes)
-        writeRole(std::move(write));
-}
-
-void BrokerService::decideRole(State &state, Unit &unit, const Version &version, RoleInput input,
-                               TimePoint now, Answers &answers, std::vector<CompareAndSwap> &writes)
-{
-    input.unit = unitIdOf(unit.service, unit.region);
-    input.entry = unit.entry;
-    const bool isFree = unit.entry && isRoleFree(*unit.entry, input.holderLeaseGone);
-    if (!isFree)
-        unit.freeSince.reset();
-    else if (!unit.freeSince)
-        unit.freeSince = now;
-    input.freeSince = unit.freeSince.value_or(now);
-    const auto decision = decideBrokerRole(input, now);
-    if (decision.action == RoleAction::Keep) {
-        if (!unit.broker)
-            openBroker(state, unit, version, decision, input.members, now, answers);
-        unit.broker->setAuthority(decision.grantUntil);
-        return;
-    }
-    if (decision.action != RoleAction::Take)
-        closeBroker(unit, answers);
-    if (decision.action == RoleAction::None || unit.writing)
-        return;
-    unit.writing = true;
-    writes.push_back({.key = internal::roleKey(unit.service, unit.region),
-                      .expectedVersion = decision.expectedVersion,
-                      .value = encode(decision.record)});
-}
-
-void BrokerService::writeRole(CompareAndSwap write)
-{
-    const auto key = write.key;
-    const auto text = write.value;
-    instance_.store.compareAndSwap(
-            std::move(write), [this, key, text](Result<std::uint64_t, StoreError> result) {
-                instance_.noteStoreCall(isStoreAnswer(result), Clock::now());
-                state_.use([&](State &state) {
-                    for (auto &[id, unit] : state.units) {
-                        if (internal::roleKey(unit.service, unit.region) != key)
-                            continue;
-                        unit.writing = false;
-                        // A watch that was answered before this write must not undo it.
-                        if (isOk(result) && state.entries[key].version < value(result))
-                            state.entries[key] = {value(result), value(decodeBrokerRecord(text))};
-                    }
-                });
-                // A failed write is tried again by the timer, so that an outage is not hammered.
-                if (isOk(result))
-                    instance_.workers->post([this] { decideRoles(); });
-                else
-                    logEvent(Event::RoleWriteFailed,
-                             {{"key", key},
-                              {"failure", enumName(storeFailureNames, error(result).failure)}});
-            });
-}
-
-void BrokerService::openBroker(State &state, Unit &unit, const Version &version,
-                               const RoleDecision &decision, std::span<const RoleMember> members,
-                               TimePoint now, Answers &answers)
-{
-    unit.broker = SlotBroker(decision.record.epoch, {.warmStart = decision.record.epoch > 1});
-    unit.rebuilding = true;
-    unit.targetsRevision = 0;
-    refreshTargets(state, unit, version, now, answers);
-    std::set<HolderId> holders;
-    for (const auto &member : members)
-        holders.insert(member.incarnation);
-    BrokerEffects effects;
-    unit.broker->startRebuild(std::vector(holders.begin(), holders.end()), now, randomNumber(),
-                              effects);
-    applyEffects(state, unit, effects, now, answers);
-    logEvent(
-            Event::BrokerTaken,
-            {{"service", unit.service}, {"region", unit.region}, {"epoch", decision.record.epoch}});
-}
-
-void BrokerService::closeBroker(Unit &unit, Answers &answers)
-{
-    if (!unit.broker)
-        return;
-    logEvent(Event::BrokerGivenUp,
-             {{"service", unit.service}, {"region", unit.region}, {"epoch", unit.broker->epoch()}});
-    for (auto &[key, callback] : unit.waiting)
-        answers.emplace_back(std::move(callback),
-                             GrantAnswer{.unit = unitIdOf(unit.service, unit.region),
-                                         .sequence = key.second,
-                                         .reason = Reason::BrokerUnreachable});
-    unit.waiting.clear();
-    unit.broker.reset();
-}
-
 void BrokerService::refreshTargets(State &state, Unit &unit, const Version &version, TimePoint now,
                                    Answers &answers)
 {
@@ -467,48 +238,6 @@
     }
 }
 
-std::shared_ptr<const BrokerService::RemoteBrokers> BrokerService::remoteBrokers(TimePoint now)
-{
-    auto current = remote_.load();
-    if (current && now - current->madeAt < internal::remoteBrokersAge)
-        return current;
-    auto next = std::make_shared<RemoteBrokers>();
-    next->madeAt = now;
-    instance_.membership.use([&](MembershipState &state) {
-        for (const auto &member : state.table.members(now)) {
-            if (member.record.id == instance_.settings.instanceId
-                || member.status == MemberStatus::Gone || member.status == MemberStatus::Silent)
-                continue;
-            for (const auto &held : member.record.brokers) {
-                auto &entry = next->units[unitIdOf(held.service, held.region)];
-                if (held.epoch > entry.first)
-                    entry = {held.epoch, member.record.peerAddress};
-            }
-        }
-    });
-    remote_.store(next);
-    return next;
-}
-
-std::optional<BrokerService::Location> BrokerService::locate(const std::string &service,
-                                                             const std::string &region)
-{
-    const auto id = unitIdOf(service, region);
-    const auto remote = remoteBrokers(Clock::now());
-    const auto other = remote->units.find(id);
-    const std::uint64_t otherEpoch = other == remote->units.end() ? 0 : other->second.first;
-    const bool local = state_.use([&](State &state) {
-        const auto entry = state.units.find(id);
-        return entry != state.units.end() && entry->second.broker
-                && entry->second.broker->epoch() >= otherEpoch;
-    });
-    if (local)
-        return Location{.local = true, .peerAddress = {}};
-    if (otherEpoch == 0)
-        return std::nullopt;
-    return Location{.local = false, .peerAddress = other->second.second};
-}
-
 std::vector<BrokerService::UnitReport> BrokerService::reports()
 {
     return state_.use([](State &state) {
@@ -561,24 +290,6 @@
         state_.use([&](State &state) { state.suspects.merge(counts, Clock::now()); });
 }
 
-void BrokerService::giveUpAll(std::function<void()> done)
-{
-    // Deciding with "leaving" set writes every held role; it is enough to see that none is left.
-    decideRoles();
-    const bool any = state_.use([](State &state) {
-        for (const auto &[id, unit] : state.units) {
-            if (unit.broker || unit.writing)
-                return true;
-        }
-        return false;
-    });
-    if (any)
-        instance_.workers->after(internal::rebuildInterval,
-                                 [this, done = std::move(done)] { giveUpAll(done); });
-    else
-        done();
-}
-
 void BrokerService::probeTargets()
 {
     const auto version = instance_.version();
@@ -617,19 +328,7 @@
     }
     if (!isOk(result) || value(result).status != 200)
         return; // silence says nothing about the load
-    TargetReport report{.target = target, .age = Milliseconds(0)};
-    const auto body = nlohmann::json::parse(value(result).body, nullptr, false);
-    if (body.is_object()) {
-        if (const auto load = body.find("load"); load != body.end() && load->is_number())
-            report.load = load->get<double>();
-        if (const auto leaving = body.find("leaving");
-            leaving != body.end() && leaving->is_boolean())
-            report.leaving = leaving->get<bool>();
-        if (const auto age = body.find("age-ms"); age != body.end() && age->is_number_unsigned())
-            report.age = Milliseconds(age->get<std::uint32_t>());
-    }
-    if (const auto *id = findHeader(value(result).headers, "Vane-Start-Id"))
-        report.startId = hash64(*id);
+    const auto report = readTargetHealth(target, value(result));
     withBroker(unit, [&](Unit &entry, TimePoint now, BrokerEffects &effects) {
         entry.reported[target] = {report.startId, report.leaving};
         entry.broker->targetReport(report, now, randomNumber(), effects);
--- a/chestnutvane/process/caller_service.cc
+++ b/chestnutvane/process/caller_service.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "chestnutvane/connection/query_string.h"
+#include "chestnutvane/process/call_answer.h"
 #include "chestnutvane/process/log.h"
 #include "chestnutvane/request/fingerprint.h"
 
@@ -18,36 +19,6 @@
 constexpr int badRequest = 400;
 constexpr int unavailable = 503;
 
-bool equalsIgnoreCase(std::string_view a, std::string_view b)
-{
-    return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
-        return std::tolower(x) == std::tolower(y);
-    });
-}
-
-// Headers that concern one connection, or that only the system may set.
-bool isPassedOn(std::string_view name)
-{
-    constexpr std::string_view kept[] = {
-            "connection", "keep-alive", "transfer-encoding", "content-length", "host",
-            "upgrade",    "te",         "trailer",           "expect",         "proxy-connection"};
-    constexpr std::string_view own = "vane-";
-    if (name.size() > own.size() && equalsIgnoreCase(name.substr(0, own.size()), own))
-        return false;
-    return std::none_of(std::begin(kept), std::end(kept),
-                        [name](std::string_view other) { return equalsIgnoreCase(name, other); });
-}
-
-std::vector<HttpHeader> passedOnHeaders(const std::vector<HttpHeader> &headers)
-{
-    std::vector<HttpHeader> result;
-    for (const auto &header : headers) {
-        if (isPassedOn(header.name))
-            result.push_back(header);
-    }
-    return result;
-}
-
 // The deadline of a request: what the caller asks for, at most the deadline of its class.
 Result<Milliseconds, Reason> timeLimit(const ServerRequest &request, const RequestClass &found)
 {
@@ -61,37 +32,6 @@
     return std::min(found.deadline, Milliseconds(wanted));
 }
 
-ForwardAnswer refusal(Outcome outcome, Reason reason, int status)
-{
-    return {.outcome = outcome, .reason = reason, .status = status};
-}
-
-ForwardAnswer answerOf(const OnceResult &result)
-{
-    ForwardAnswer answer{
-            .outcome = result.outcome, .reason = result.reason, .status = result.status};
-    if (result.answer) {
-        for (const auto &[name, text] : result.answer->headers)
-            answer.headers.push_back({name, text});
-        answer.body = result.answer->body;
-    }
-    return answer;
-}
-
-OnceResult onceResultOf(FlowResult result)
-{
-    OnceResult once{.outcome = result.outcome, .reason = result.reason, .status = result.status};
-    if (result.outcome == Outcome::Ran) {
-        auto answer = std::make_shared<OnceAnswer>();
-        answer->status = result.status;
-        for (auto &[name, text] : result.headers)
-            answer->headers.emplace_back(std::move(name), std::move(text));
-        answer->body = std::move(result.body);
-        once.answer = std::move(answer);
-    }
-    return once;
-}
-
 } // namespace
 } // namespace internal
 
@@ -108,8 +48,7 @@
     } else if (request.path.starts_with(internal::servicePrefix)) {
         handleService(std::move(request), std::move(respond));
     } else {
-        respond(toResponse(
-                internal::refusal(Outcome::NotRun, Reason::BadRequest, internal::notFound)));
+        respond(toResponse(refusal(Outcome::NotRun, Reason::BadRequest, internal::notFound)));
     }
 }
 
@@ -126,7 +65,7 @@
         const int status = reason == Reason::UnknownService ? internal::notFound
                 : reason == Reason::BadRequest              ? internal::badRequest
                                                             : internal::unavailable;
-        respond(toResponse(internal::refusal(Outcome::NotRun, reason, status)));
+        respond(toResponse(refusal(Outcome::NotRun, reason, status)));
         return;
     }
     const auto &answer = value(found);
@@ -212,11 +151,7 @@
     runFlow(
             call,
             [this, call](FlowResult result) {
-                ForwardAnswer answer{.outcome = result.outcome,
-                                     .reason = result.reason,
-                                     .status = result.status,
-                                     .headers = std::move(result.headers),
-                                     .body = std::move(result.body)};
+                ForwardAnswer answer = answerOf(std::move(result));
                 logEnd(*call, answer);
                 call->answer(std::move(answer));
             },
@@ -230,164 +165,6 @@
             });
 }
 
-void CallerService::startOnce(const std::shared_ptr<Call> &call, const std::string &keyText)
-{
-    const auto parsed = parseOneTimeKey(keyText);
-    if (!isOk(parsed)) {
-        conclude(call, keyRefusal(true));
-        return;
-    }
-    const auto &key = value(parsed);
-    const auto print = fingerprint({call->requestClass.service, call->request.method,
-                                    call->request.path, call->request.query, *call->body});
-    const OnceWaiter waiter = nextWaiter_++;
-    {
-        const std::lock_guard lock(waitersMutex_);
-        waiters_[waiter] = call;
-    }
-    const auto source = call->forwarded ? OnceSource::Peer : OnceSource::Caller;
-    const auto begin = instance_.once.use(
-            [&](OnceTable &once) { return once.begin(key, print, waiter, source, Clock::now()); });
-    if (std::holds_alternative<OnceWait>(begin)) {
-        waitForResult(call, key, waiter);
-        return;
-    }
-    {
-        const std::lock_guard lock(waitersMutex_);
-        waiters_.erase(waiter);
-    }
-    if (std::holds_alternative<OnceRun>(begin))
-        runOnce(call, key);
-    else if (const auto *other = std::get_if<OnceForward>(&begin))
-        forward(call, keyText, other->incarnation);
-    else if (const auto *stored = std::get_if<OnceStored>(&begin))
-        conclude(call, stored->result);
-    else
-        conclude(call, std::get<OnceRefused>(begin).result);
-}
-
-void CallerService::waitForResult(const std::shared_ptr<Call> &call, const OneTimeKey &key,
-                                  OnceWaiter waiter)
-{
-    instance_.workers->after(call->deadline - Clock::now(), [this, call, key, waiter] {
-        const auto result = instance_.once.use(
-                [&](OnceTable &once) { return once.giveUpWaiting(key, waiter); });
-        if (!result)
-            return;
-        {
-            const std::lock_guard lock(waitersMutex_);
-            waiters_.erase(waiter);
-        }
-        conclude(call, *result);
-    });
-}
-
-void CallerService::runOnce(const std::shared_ptr<Call> &call, const OneTimeKey &key)
-{
-    runFlow(
-            call,
-            [this, call, key](FlowResult result) {
-                const auto finished = instance_.once.use([&](OnceTable &once) {
-                    return once.finish(key, internal::onceResultOf(std::move(result)),
-                                       Clock::now());
-                });
-                std::vector<std::shared_ptr<Call>> waiting;
-                {
-                    const std::lock_guard lock(waitersMutex_);
-                    for (const auto waiter : finished.waiters) {
-                        if (const auto entry = waiters_.find(waiter); entry != waiters_.end()) {
-                            waiting.push_back(entry->second);
-                            waiters_.erase(entry);
-                        }
-                    }
-                }
-                conclude(call, finished.result);
-                for (const auto &other : waiting)
-                    conclude(other, finished.result);
-            },
-            [this, key](const RequestClass &requestClass, const AttemptHistory &history,
-                        Duration remaining) {
-                const bool allowed = instance_.once.use([&](OnceTable &once) {
-                    return once.mayDispatchAgain(key, coveringOutcome(history));
-                });
-                return allowed && instance_.retryBudget.use([&](RetryBudget &budget) {
-                    return mayRetry(requestClass, history, remaining, Duration::zero(), budget)
-                            == RetryVerdict::Retry;
-                });
-            });
-}
-
-void CallerService::forward(const std::shared_ptr<Call> &call, const std::string &keyText,
-                            const std::string &incarnation)
-{
-    std::string address;
-    instance_.membership.use([&](MembershipState &state) {
-        for (const auto &member : state.table.members(Clock::now())) {
-            if (member.record.incarnation == incarnation && member.status != MemberStatus::Gone)
-                address = member.record.peerAddress;
-        }
-    });
-    const auto remaining = std::chrono::duration_cast<Milliseconds>(call->deadline - Clock::now());
-    if (address.empty() || remaining.count() <= 0) {
-        conclude(call, ownerUnreachable());
-        return;
-    }
-    logEvent(Event::RequestForwarded, {{"request", call->number}, {"owner", address}});
-    const ForwardRequest message{.service = call->requestClass.service,
-                                 .method = call->request.method,
-                                 .path = call->request.path,
-                                 .query = call->request.query,
-                                 .headers = internal::passedOnHeaders(call->request.headers),
-                                 .body = *call->body,
-                                 .key = keyText,
-                                 .remaining = remaining};
-    instance_.peers->call(address, "forward", encode(message), remaining,
-                          [this, call](Result<std::string, PeerError> reply) {
-                              if (isOk(reply)) {
-                                  auto answer = decodeForwardAnswer(value(reply));
-                                  if (isOk(answer)) {
-                                      logEnd(*call, value(answer));
-                                      call->answer(std::move(value(answer)));
-                                      return;
-                                  }
-                              }
-                              conclude(call, ownerUnreachable());
-                          });
-}
-
-void CallerService::handleForward(const std::string &body, std::function<void(std::string)> reply)
-{
-    auto decoded = decodeForwardRequest(body);
-    const auto version = instance_.version();
-    const RequestClass *found = nullptr;
-    if (isOk(decoded) && version)
-        found = version->classes.find(value(decoded).service, value(decoded).path);
-    if (found == nullptr) {
-        reply(encode(internal::refusal(Outcome::Unknown, Reason::NoMatchingClass,
-                                       internal::unavailable)));
-        return;
-    }
-    auto &message = value(decoded);
-    auto call = std::make_shared<Call>();
-    call->number = nextNumber_++;
-    call->version = version;
-    call->requestClass = *found;
-    call->startedAt = Clock::now();
-    call->deadline = call->startedAt + std::min(message.remaining, found->deadline);
-    call->forwarded = true;
-    call->body = std::make_shared<const std::string>(std::move(message.body));
-    call->request.method = message.method;
-    call->request.path = message.path;
-    call->request.query = message.query;
-    call->request.headers = std::move(message.headers);
-    ++inFlight_;
-    call->answer = [this, reply = std::move(reply)](const ForwardAnswer &answer) {
-        reply(encode(answer));
-        --inFlight_;
-    };
-    startOnce(call, message.key);
-}
-
 void CallerService::runFlow(
         const std::shared_ptr<Call> &call, std::function<void(FlowResult)> done,
         std::function<bool(const RequestClass &, const AttemptHistory &, Duration)> retry)
@@ -399,7 +176,7 @@
     incoming.method = call->request.method;
     incoming.path = call->request.path;
     incoming.query = call->request.query;
-    incoming.headers = internal::passedOnHeaders(call->request.headers);
+    incoming.headers = passedOnHeaders(call->request.headers);
     incoming.body = call->body;
     incoming.fingerprint = fingerprint({call->requestClass.service, call->request.method,
                                         call->request.path, call->request.query, *call->body})
@@ -531,7 +308,7 @@
 
 void CallerService::conclude(const std::shared_ptr<Call> &call, const OnceResult &result)
 {
-    auto answer = internal::answerOf(result);
+    auto answer = answerOf(result);
     logEnd(*call, answer);
     call->answer(std::move(answer));
 }
@@ -563,7 +340,7 @@
 {
     ServerResponse response{.status = answer.status};
     for (auto &header : answer.headers) {
-        if (internal::isPassedOn(header.name))
+        if (isPassedOn(header.name))
             response.headers.push_back(std::move(header));
     }
     response.headers.push_back(
--- a/chestnutvane/process/events.h
+++ b/chestnutvane/process/events.h
@@ -113,7 +113,7 @@
          "No contact with the store or any peer; no new work is taken."},
         {Event::ContactRegained, LogLevel::Info, "contact-regained",
          "Contact is back; new work is taken again."},
-        {Event::StoreFailed, LogLevel::Warning, "store-failed", "A call to the store failed."},
+        {Event::StoreFailed, LogLevel::Warning, "store-failed", "The store stopped answering."},
 };
 
 // Returns the row of an event.
--- a/chestnutvane/process/headroom.cc
+++ b/chestnutvane/process/headroom.cc
@@ -85,6 +85,12 @@
     return all < options_.minOutcomes ? 0 : refused / all;
 }
 
+double HeadroomTable::capOf(const std::string &region) const
+{
+    const auto cap = regionCaps_.find(region);
+    return cap == regionCaps_.end() ? 1 : cap->second;
+}
+
 double HeadroomTable::headroom(const std::string &service, const std::string &region,
                                TimePoint now) const
 {
@@ -94,7 +100,7 @@
         return 0;
     const double total = unit->report.totalSlots;
     const double free = std::min<double>(unit->report.freeSlots, total) / total;
-    return std::max(0.0, free - (1 - options_.regionCap)) * freshness(*unit, now);
+    return std::max(0.0, free - (1 - capOf(region))) * freshness(*unit, now);
 }
 
 double HeadroomTable::overflowShare(const std::string &service, const std::string &region,
@@ -108,7 +114,7 @@
     // The demand is what runs and what waits; the slots under the cap carry their part of it.
     const double demand =
             report.totalSlots - std::min(report.freeSlots, report.totalSlots) + waiting;
-    const double carried = report.totalSlots * options_.regionCap;
+    const double carried = report.totalSlots * capOf(region);
     const double queuedShare =
             demand > carried ? (1 - carried / demand) * freshness(*unit, now) : 0;
     const double refused = refusedShare(*unit, now);
--- a/chestnutvane/process/headroom.h
+++ b/chestnutvane/process/headroom.h
@@ -58,7 +58,6 @@
     // single targets that shed.
     double contradictingRefusals = 0.05;
     double minOutcomes = 5; // fewer recent outcomes contradict nothing
-    double regionCap = 1; // share of the slots that steering may fill, rule "cap region"
 };
 
 class HeadroomTable
@@ -66,6 +65,9 @@
 public:
     explicit HeadroomTable(HeadroomOptions options = {}) : options_(options) { }
 
+    // Sets the share of the slots that steering may fill, by region (rule "cap region"); 1 without.
+    void setRegionCaps(std::map<std::string, double> caps) { regionCaps_ = std::move(caps); }
+
     // Notes a report made at a time. Reports of an older epoch, or older ones of the same epoch,
     // are ignored.
     void report(const std::string &service, const std::string &region, const HeadroomReport &report,
@@ -97,9 +99,11 @@
     const Unit *findUnit(const std::string &service, const std::string &region) const;
     double freshness(const Unit &unit, TimePoint now) const;
     double refusedShare(const Unit &unit, TimePoint now) const;
+    double capOf(const std::string &region) const;
 
     HeadroomOptions options_;
     std::map<std::pair<std::string, std::string>, Unit> units_;
+    std::map<std::string, double> regionCaps_;
 };
 
 // Use of the links between regions, estimated from the bytes that instances forward.
--- a/chestnutvane/process/headroom_test.cc
+++ b/chestnutvane/process/headroom_test.cc
@@ -41,9 +41,9 @@
 // headroom and sends callers away.
 RC_GTEST_PROP(HeadroomTest, NeverOffersMoreThanIsFreeUnderTheCap, ())
 {
-    HeadroomOptions options;
-    options.regionCap = *rc::gen::inRange(0, 101) / 100.0;
-    HeadroomTable table(options);
+    const double cap = *rc::gen::inRange(0, 101) / 100.0;
+    HeadroomTable table;
+    table.setRegionCaps({{"r", cap}, {"other", 0.0}});
     const HeadroomReport report{1, *rc::gen::inRange(0U, 60U), *rc::gen::inRange(0U, 50U),
                                 *rc::gen::inRange(0U, 3U)};
     table.report("s", "r", report, start);
@@ -53,7 +53,7 @@
     const double used = report.totalSlots * 1.0 - std::min(report.freeSlots, report.totalSlots);
     RC_ASSERT(headroom >= 0 && overflow >= 0 && overflow <= 1);
     RC_ASSERT(used + headroom * report.totalSlots
-              <= std::max(used, report.totalSlots * options.regionCap) + 1e-9);
+              <= std::max(used, report.totalSlots * cap) + 1e-9);
     RC_ASSERT(headroom < 1e-9 || overflow < 1e-9);
 }
 
--- a/chestnutvane/process/instance.cc
+++ b/chestnutvane/process/instance.cc
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "chestnutvane/process/log.h"
+
 namespace chestnutvane {
 
 Instance::Instance(Settings chosen, std::string ownIncarnation, HolderId holder, MemberRecord self)
@@ -37,14 +39,18 @@
 void Instance::noteStoreCall(bool answered, TimePoint now)
 {
     metrics.increment("vane_store_calls_total", {{"answered", answered ? "yes" : "no"}});
-    membership.use([&](MembershipState &state) {
+    const bool lost = membership.use([&](MembershipState &state) {
         auto &contact = state.store;
+        const bool wasReachable = contact.reachable;
         if (answered && !contact.reachable)
             contact.reachableSince = now;
         contact.reachable = answered;
         if (answered)
             contact.lastAnswer = now;
+        return wasReachable && !answered;
     });
+    if (lost) // once for an outage; the counter above has every call
+        logEvent(Event::StoreFailed, {});
 }
 
 HolderId holderIdOf(const std::string &incarnation)
--- a/chestnutvane/process/steering_service.cc
+++ b/chestnutvane/process/steering_service.cc
@@ -47,6 +47,16 @@
     return 100;
 }
 
+std::map<std::string, double> regionCaps(const Version &version)
+{
+    std::map<std::string, double> caps;
+    for (const auto &cap : version.rules.caps) {
+        if (cap.kind == CapKind::Region)
+            caps[cap.subject] = cap.percent / 100;
+    }
+    return caps;
+}
+
 double mean(const DecayingSum &sum, const DecayingSum &count, TimePoint now)
 {
     constexpr double fewest = 1e-6; // below it nothing was measured
@@ -129,6 +139,7 @@
     const auto region = regionOfZone(*version, instance_.settings.zone);
     std::vector<std::pair<std::string, StepDecision>> decisions;
     instance_.membership.use([&](MembershipState &state) {
+        state.headroom.setRegionCaps(internal::regionCaps(*version));
         if (!state.movesRead)
             return;
         state.moves.keepOnly([&](const std::string &name) {
--- a/testing/store_standin.cc
+++ b/testing/store_standin.cc
@@ -2,9 +2,7 @@
 
 #include <tclap/CmdLine.h>
 
-#include <csignal>
-#include <iostream>
-
+#include "testing/run_until_stopped.h"
 #include "testing/store_routes.h"
 
 namespace chestnutvane {
@@ -12,26 +10,16 @@
 
 int serve(const std::string &address, int port)
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    blockStopSignals(); // before the routes start their workers
     StoreRoutes store;
-    auto server = HttpServer::create({.address = address,
-                                      .port = static_cast<std::uint16_t>(port),
-                                      .threads = 1,
-                                      .maxBodyBytes = 4U << 20U},
-                                     [&store](ServerRequest request, Responder respond) {
-                                         store.handle(std::move(request), std::move(respond));
-                                     });
-    if (!isOk(server)) {
-        std::cerr << "store_standin: " << error(server).detail << "\n";
-        return 1;
-    }
-    int received = 0;
-    sigwait(&signals, &received);
-    return 0;
+    return runUntilStopped("store_standin",
+                           {.address = address,
+                            .port = static_cast<std::uint16_t>(port),
+                            .threads = 1,
+                            .maxBodyBytes = 4U << 20U},
+                           [&store](ServerRequest request, Responder respond) {
+                               store.handle(std::move(request), std::move(respond));
+                           });
 }
 
 } // namespace
--- a/testing/target_standin.cc
+++ b/testing/target_standin.cc
@@ -19,7 +19,6 @@
 
 #include <atomic>
 #include <condition_variable>
-#include <csignal>
 #include <iostream>
 #include <map>
 #include <mutex>
@@ -30,6 +29,7 @@
 #include "chestnutvane/connection/http_server.h"
 #include "chestnutvane/connection/query_string.h"
 #include "chestnutvane/process/workers.h"
+#include "testing/run_until_stopped.h"
 
 namespace chestnutvane {
 namespace {
@@ -238,24 +238,13 @@
 
 int serve(const Options &options)
 {
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    blockStopSignals(); // before the stand-in starts its workers
     TargetStandin target(options);
-    auto server =
-            HttpServer::create({.address = options.address, .port = options.port, .threads = 1},
-                               [&target](ServerRequest request, Responder respond) {
-                                   target.handle(std::move(request), std::move(respond));
-                               });
-    if (!isOk(server)) {
-        std::cerr << "target_standin: " << error(server).detail << "\n";
-        return 1;
-    }
-    int received = 0;
-    sigwait(&signals, &received);
-    return 0;
+    return runUntilStopped("target_standin",
+                           {.address = options.address, .port = options.port, .threads = 1},
+                           [&target](ServerRequest request, Responder respond) {
+                               target.handle(std::move(request), std::move(respond));
+                           });
 }
 
 } // namespace
