--- a/chestnutvane/request/request_flow.h
+++ b/chestnutvane/request/request_flow.h
@@ -150,7 +150,9 @@
     RequestServices services_;
     IncomingRequest request_;
 
-    std::mutex mutex_; // guards all below; held across no call of a service
+    // Guards all below. Of the services only now() and mayRetry() are called under it; they must
+    // not call back into the flow.
+    std::mutex mutex_;
     Callback callback_;
     std::vector<Attempt> attempts_;
     AttemptHistory history_;
