Rebuild from instances of other regions; release the slots of dead holders

Cause: a new broker asked only the instances of its own region for their grants, though others may send requests here, and a holder that died later was never reported to the broker, so its slots stayed counted.

Change: every instance that answers is asked, of the own region also one that does not; a lease that vanishes ends its holder; a grant is counted for the longest deadline of the service and not for 30 s. Every idempotent attempt is watched for silence, at most three in all.

--- a/chestnutvane/process/broker_service.h
+++ b/chestnutvane/process/broker_service.h
@@ -100,6 +100,14 @@
         CrashSuspects suspects;
         std::string suspectsRegion;
     };
+    // Instances heard of. Those of other regions send requests here only when their own region has
+    // no usable target, so one that no longer answers is not waited for: the unit would be without
+    // slots for the longest deadline each time an instance elsewhere dies.
+    struct HeardMembers
+    {
+        std::set<HolderId> all;
+        std::set<HolderId> holders; // of the own region, and those of other regions that answer
+    };
     // The brokers of other instances, as of one moment. Immutable.
     struct RemoteBrokers
     {
@@ -112,12 +120,17 @@
     std::shared_ptr<const RemoteBrokers> remoteBrokers(TimePoint now);
     void watchRoles(std::optional<std::uint64_t> afterVersion);
     void watchLeases(std::optional<std::uint64_t> afterVersion);
+    // Takes the lease keys of the store; an incarnation whose key is gone is proven dead.
+    void takeLeases(const std::vector<StoreEntry> &entries);
+    // Incarnations that may hold a grant of an earlier epoch of a unit of the own region.
+    static std::vector<HolderId> possibleHolders(const State &state, const HeardMembers &heard);
     void decideRoles();
-    void decideRole(State &state, Unit &unit, const Version &version, RoleInput input,
-                    TimePoint now, Answers &answers, std::vector<CompareAndSwap> &writes);
+    void decideRole(State &state, Unit &unit, const Version &version, const HeardMembers &heard,
+                    RoleInput input, TimePoint now, Answers &answers,
+                    std::vector<CompareAndSwap> &writes);
     void writeRole(CompareAndSwap write);
     void openBroker(State &state, Unit &unit, const Version &version, const RoleDecision &decision,
-                    std::span<const RoleMember> members, TimePoint now, Answers &answers);
+                    std::span<const HolderId> holders, TimePoint now, Answers &answers);
     static void closeBroker(Unit &unit, Answers &answers);
     void refreshTargets(State &state, Unit &unit, const Version &version, TimePoint now,
                         Answers &answers);
--- a/chestnutvane/process/broker_service_roles.cc
+++ b/chestnutvane/process/broker_service_roles.cc
@@ -18,6 +18,24 @@
     return std::string(rolePrefix) + service + "/" + region;
 }
 
+bool isAnswering(MemberStatus status)
+{
+    return status == MemberStatus::Joining || status == MemberStatus::Serving
+            || status == MemberStatus::Leaving;
+}
+
+// No grant of a service outlives the longest deadline of its classes.
+Duration longestDeadline(const Version &version, const std::string &service)
+{
+    Duration longest{};
+    for (const auto &requestClass : version.rules.classes) {
+        if (requestClass.service == service)
+            longest = std::max<Duration>(longest, requestClass.deadline);
+    }
+    return longest == Duration::zero() ? Duration(maxGrantTime)
+                                       : std::min<Duration>(longest, maxGrantTime);
+}
+
 } // namespace
 } // namespace internal
 
@@ -50,24 +68,54 @@
 {
     instance_.watchStore(std::string(internal::leasePrefix), afterVersion,
                          [this, afterVersion](Result<WatchResult, StoreError> result) {
-                             instance_.noteStoreCall(isStoreAnswer(result), Clock::now());
                              if (!isOk(result)) {
                                  instance_.workers->after(
                                          internal::watchPause,
                                          [this, afterVersion] { watchLeases(afterVersion); });
                                  return;
                              }
-                             state_.use([&](State &state) {
-                                 state.leasesKnown = true;
-                                 state.leasedIncarnations.clear();
-                                 for (const auto &entry : value(result).entries)
-                                     state.leasedIncarnations.insert(entry.value);
-                             });
+                             takeLeases(value(result).entries);
                              instance_.workers->post(
                                      [this, next = value(result).version] { watchLeases(next); });
                          });
 }
 
+void BrokerService::takeLeases(const std::vector<StoreEntry> &entries)
+{
+    std::set<std::string> leased;
+    for (const auto &entry : entries)
+        leased.insert(entry.value);
+    const auto now = Clock::now();
+    Answers answers;
+    state_.use([&](State &state) {
+        for (const auto &incarnation : state.leasedIncarnations) {
+            if (leased.contains(incarnation))
+                continue;
+            // The grants of a dead holder end by themselves; one that lives sends a list again.
+            for (auto &[id, unit] : state.units) {
+                if (!unit.broker)
+                    continue;
+                BrokerEffects effects;
+                unit.broker->holderGone(holderIdOf(incarnation), now, randomNumber(), effects);
+                applyEffects(state, unit, effects, now, answers);
+            }
+        }
+        state.leasesKnown = true;
+        state.leasedIncarnations = std::move(leased);
+    });
+    give(answers);
+}
+
+std::vector<HolderId> BrokerService::possibleHolders(const State &state, const HeardMembers &heard)
+{
+    auto holders = heard.holders;
+    for (const auto &incarnation : state.leasedIncarnations) {
+        if (const auto holder = holderIdOf(incarnation); !heard.all.contains(holder))
+            holders.insert(holder);
+    }
+    return {holders.begin(), holders.end()};
+}
+
 void BrokerService::decideRoles()
 {
     const auto version = instance_.version();
@@ -77,6 +125,7 @@
     const auto region = regionOfZone(*version, instance_.settings.zone);
     RoleInput input;
     std::vector<RoleMember> members;
+    HeardMembers heard;
     instance_.membership.use([&](MembershipState &state) {
         input.selfId = instance_.settings.instanceId;
         input.selfIncarnation = instance_.holderId;
@@ -94,11 +143,16 @@
                     && peer.storeContactAge && *peer.storeContactAge <= limits.presentContact;
         for (const auto &member : state.table.members(now)) {
             const bool self = member.record.id == instance_.settings.instanceId;
-            if (regionOfZone(*version, member.record.zone) != region)
+            const auto incarnation = holderIdOf(member.record.incarnation);
+            const bool ownRegion = regionOfZone(*version, member.record.zone) == region;
+            heard.all.insert(incarnation);
+            if (ownRegion || internal::isAnswering(member.status))
+                heard.holders.insert(incarnation);
+            if (!ownRegion)
                 continue;
             members.push_back(
                     {.instanceId = member.record.id,
-                     .incarnation = holderIdOf(member.record.incarnation),
+                     .incarnation = incarnation,
                      .live = self || member.status == MemberStatus::Serving,
                      .leaving = self ? state.leaving : member.status == MemberStatus::Leaving});
         }
@@ -132,7 +186,7 @@
                 input.holderLeaseGone = !state.leasedIncarnations.contains(incarnation);
             }
             const bool held = unit.broker.has_value();
-            decideRole(state, unit, *version, input, now, answers, writes);
+            decideRole(state, unit, *version, heard, input, now, answers, writes);
             opened |= !held && unit.broker.has_value();
             if (unit.broker)
                 refreshTargets(state, unit, *version, now, answers);
@@ -149,8 +203,9 @@
         writeRole(std::move(write));
 }
 
-void BrokerService::decideRole(State &state, Unit &unit, const Version &version, RoleInput input,
-                               TimePoint now, Answers &answers, std::vector<CompareAndSwap> &writes)
+void BrokerService::decideRole(State &state, Unit &unit, const Version &version,
+                               const HeardMembers &heard, RoleInput input, TimePoint now,
+                               Answers &answers, std::vector<CompareAndSwap> &writes)
 {
     input.unit = unitIdOf(unit.service, unit.region);
     input.entry = unit.entry;
@@ -163,7 +218,7 @@
     const auto decision = decideBrokerRole(input, now);
     if (decision.action == RoleAction::Keep) {
         if (!unit.broker)
-            openBroker(state, unit, version, decision, input.members, now, answers);
+            openBroker(state, unit, version, decision, possibleHolders(state, heard), now, answers);
         unit.broker->setAuthority(decision.grantUntil);
         return;
     }
@@ -205,19 +260,17 @@
 }
 
 void BrokerService::openBroker(State &state, Unit &unit, const Version &version,
-                               const RoleDecision &decision, std::span<const RoleMember> members,
+                               const RoleDecision &decision, std::span<const HolderId> holders,
                                TimePoint now, Answers &answers)
 {
-    unit.broker = SlotBroker(decision.record.epoch, {.warmStart = decision.record.epoch > 1});
+    unit.broker = SlotBroker(decision.record.epoch,
+                             {.longestGrant = internal::longestDeadline(version, unit.service),
+                              .warmStart = decision.record.epoch > 1});
     unit.rebuilding = true;
     unit.targetsRevision = 0;
     refreshTargets(state, unit, version, now, answers);
-    std::set<HolderId> holders;
-    for (const auto &member : members)
-        holders.insert(member.incarnation);
     BrokerEffects effects;
-    unit.broker->startRebuild(std::vector(holders.begin(), holders.end()), now, randomNumber(),
-                              effects);
+    unit.broker->startRebuild(holders, now, randomNumber(), effects);
     applyEffects(state, unit, effects, now, answers);
     logEvent(
             Event::BrokerTaken,
--- a/chestnutvane/request/request_flow.cc
+++ b/chestnutvane/request/request_flow.cc
@@ -192,7 +192,7 @@
     exchange.timeout = remaining;
     exchange.connectTimeout = std::min(remaining, Milliseconds(1000));
     exchange.freshConnection = isAtMostOnce() || index > 0;
-    if (!exchange.freshConnection) {
+    if (!isAtMostOnce()) {
         exchange.silenceLimit = request_.requestClass.silenceLimit;
         exchange.onSilence = [weak = weak_from_this(), index] {
             if (const auto self = weak.lock())
@@ -223,8 +223,12 @@
 bool RequestFlow::mayHedge()
 {
     const std::lock_guard lock(mutex_);
-    return services_.mayRetry(request_.requestClass, withAttempt(history_, Outcome::Unknown),
-                              request_.deadline - services_.now());
+    auto history = history_;
+    for (const auto &attempt : attempts_) {
+        if (!attempt.done)
+            history = withAttempt(history, Outcome::Unknown); // silent so far
+    }
+    return services_.mayRetry(request_.requestClass, history, request_.deadline - services_.now());
 }
 
 void RequestFlow::onExchange(std::size_t index, ExchangeResult result)
