Destroy the clients of an instance before its workers

Cause: broker_service_test failed under ThreadSanitizer: the workers were destroyed while the peer client's thread still posted to them. The daemon ends them in the right order by hand.

Change: Instance declares the workers before the clients, so that the reverse order of destruction is the safe one. A call of the order in the test was ruled out: every user of Instance would have to know it.

--- a/chestnutvane/process/instance.h
+++ b/chestnutvane/process/instance.h
@@ -96,10 +96,11 @@
     Metrics metrics;
     HttpStoreCounters storeCounters;
     Store store;
+    // Declared before the clients, whose threads post to it until they are destroyed.
+    std::unique_ptr<Workers> workers;
     std::unique_ptr<HttpClient> targets; // to targets
     std::unique_ptr<HttpClient> storeClient; // to the store; a full target must not delay it
     std::unique_ptr<PeerClient> peers;
-    std::unique_ptr<Workers> workers;
 
     Guarded<MembershipState, LockRank::Membership> membership;
     Guarded<ConfigurationState, LockRank::Configuration> configuration;
