Use one rule for grants without a valid lease

Cause: decideBrokerRole() had a rule of its own beside isolation.h's mayGrant(), which the daemon never called. It took silence of the peers for an outage of the store: a broker that woke from a pause of 1.5 to 4 s in an outage granted for up to 1 s before it heard of its successor.

Change: the role decision gets the contacts and asks mayGrant(). The daemon also notes the times in which it hears no peer, as the contract of ContactView asks. Ruled out: clearing the contacts after a pause, which would have left the rule standing twice.

WakingBrokerWaitsForItsPeers fails with the former rule.

--- a/chestnutvane/process/broker_role.cc
+++ b/chestnutvane/process/broker_role.cc
@@ -69,7 +69,8 @@
             return decision;
         decision.grantUntil = input.leaseRenewalStart + grantLeaseAge;
         // With the store down for all, nobody can take the role.
-        if (!input.storeReachable && !input.peerReportsStoreContact)
+        const auto authority = mayGrant(now - input.leaseRenewalStart, input.contacts, {});
+        if (!input.storeReachable && authority == GrantAuthority::StoreDown)
             decision.grantUntil = std::max(decision.grantUntil, now + outageGrantTime);
         return decision;
     }
--- a/chestnutvane/process/broker_role.h
+++ b/chestnutvane/process/broker_role.h
@@ -21,6 +21,7 @@
 #include "chestnutvane/base/time.h"
 #include "chestnutvane/process/grant_messages.h"
 #include "chestnutvane/process/grant_types.h"
+#include "chestnutvane/process/isolation.h"
 
 namespace chestnutvane {
 
@@ -71,7 +72,7 @@
     // The own lease does not exist or is not the one under which the role was taken. Must stay
     // set until the role is given up: another instance may have had the role in between.
     bool leaseLost = false;
-    bool peerReportsStoreContact = false; // a reachable peer had store contact in its heartbeat
+    ContactView contacts;
     bool isolated = false; // contact with neither the store nor a peer
 };
 
@@ -101,7 +102,8 @@
 inline constexpr Milliseconds grantLeaseAge{4000};
 // An instance that is not the preferred holder waits this long before it takes a free role.
 inline constexpr Milliseconds secondaryWait{2000};
-// With the store down, each decision allows grants for this long; it must be renewed until then.
+// While mayGrant() allows grants without a valid lease, each decision allows them for this long; it
+// must be renewed until then.
 inline constexpr Milliseconds outageGrantTime{1000};
 
 // After an outage a role whose holder lost its lease is taken only after this time: the holder may
--- a/chestnutvane/process/broker_role_test.cc
+++ b/chestnutvane/process/broker_role_test.cc
@@ -69,10 +69,11 @@
     EXPECT_EQ(decideBrokerRole(input, now).grantUntil, input.leaseRenewalStart + grantLeaseAge);
     input.storeReachable = false;
     now += std::chrono::minutes(1);
+    input.contacts = {.everKnewPeer = true, .peers = {{Milliseconds(200), Milliseconds(60'000)}}};
     EXPECT_EQ(decideBrokerRole(input, now).grantUntil, now + outageGrantTime);
-    input.peerReportsStoreContact = true;
+    input.contacts.peers[0].storeContactAge = Milliseconds(1000);
     EXPECT_LT(decideBrokerRole(input, now).grantUntil, now);
-    input.peerReportsStoreContact = false;
+    input.contacts.peers[0].storeContactAge = Milliseconds(60'000);
     input.isolated = true;
     EXPECT_LT(decideBrokerRole(input, now).grantUntil, now);
     input.isolated = false;
@@ -82,6 +83,23 @@
     EXPECT_EQ(decision.record, (BrokerRecord{{}, "", 5}));
 }
 
+// Guards against a broker that wakes from a pause in a store outage, hears no peer yet, and grants
+// although the store was back meanwhile and another instance has the role.
+TEST_F(BrokerRoleTest, WakingBrokerWaitsForItsPeers)
+{
+    input.entry->record = {self, input.selfId, 5};
+    input.storeReachable = false;
+    input.leaseRenewalStart = now - Milliseconds(8000);
+    input.contacts = {.everKnewPeer = true,
+                      .peers = {{Milliseconds(2500), Milliseconds(5000)}},
+                      .stallAge = Milliseconds(10)};
+    EXPECT_LT(decideBrokerRole(input, now).grantUntil, now);
+    input.contacts.peers[0] = {Milliseconds(100), Milliseconds(8000)};
+    EXPECT_LT(decideBrokerRole(input, now).grantUntil, now) << "not all peers can have been heard";
+    input.contacts.stallAge = Milliseconds(1500);
+    EXPECT_EQ(decideBrokerRole(input, now).grantUntil, now + outageGrantTime);
+}
+
 // Guards against a record that cannot be read back, and against one that throws.
 TEST(BrokerRecordTest, ReadsBackAndRefusesGarbage)
 {
--- a/chestnutvane/process/broker_service_roles.cc
+++ b/chestnutvane/process/broker_service_roles.cc
@@ -136,11 +136,7 @@
         input.leaseEverHeld = state.store.leaseEverHeld;
         input.leaseLost = state.store.leaseLost;
         input.isolated = state.isolated;
-        const auto view = contactView(state, now);
-        const IsolationLimits limits;
-        for (const auto &peer : view.peers)
-            input.peerReportsStoreContact |= peer.heardAge <= limits.peerSilence
-                    && peer.storeContactAge && *peer.storeContactAge <= limits.presentContact;
+        input.contacts = contactView(state, now);
         for (const auto &member : state.table.members(now)) {
             const bool self = member.record.id == instance_.settings.instanceId;
             const auto incarnation = holderIdOf(member.record.incarnation);
--- a/chestnutvane/process/instance.cc
+++ b/chestnutvane/process/instance.cc
@@ -77,7 +77,9 @@
     for (const auto &member : state.table.members(now)) {
         if (member.record.id == state.table.self().id || member.status == MemberStatus::Gone)
             continue;
-        PeerContact contact{.heardAge = now - member.heardAt, .storeContactAge = std::nullopt};
+        PeerContact contact{.heardAge = now - member.heardAt,
+                            .storeContactAge = std::nullopt,
+                            .everyPeriod = state.table.isMesh()};
         if (member.record.storeContactAge)
             contact.storeContactAge = *member.record.storeContactAge;
         view.peers.push_back(contact);
--- a/chestnutvane/process/isolation.cc
+++ b/chestnutvane/process/isolation.cc
@@ -44,7 +44,7 @@
         return GrantAuthority::StoreDown;
     if (view.stallAge && *view.stallAge < limits.peerSilence)
         return GrantAuthority::Stalled;
-    bool anyReachable = false;
+    bool anyFresh = false;
     bool allFresh = true;
     for (const PeerContact &peer : view.peers) {
         const auto age = contactAge(peer);
@@ -54,12 +54,26 @@
             return GrantAuthority::PeerReachedStore;
         if (peer.heardAge >= limits.peerSilence)
             continue;
-        anyReachable = true;
-        allFresh = allFresh && peer.heardAge < limits.freshPeer;
+        const bool fresh = peer.heardAge < limits.freshPeer;
+        anyFresh |= fresh;
+        allFresh &= fresh || !peer.everyPeriod;
         if (!isOlder(age, limits.presentContact))
             return GrantAuthority::PeerReachesStore;
     }
-    return anyReachable && allFresh ? GrantAuthority::StoreDown : GrantAuthority::NoPeer;
+    return anyFresh && allFresh ? GrantAuthority::StoreDown : GrantAuthority::NoPeer;
+}
+
+bool isNoPeerFresh(const ContactView &view, const IsolationLimits &limits)
+{
+    bool anyRegular = false;
+    for (const PeerContact &peer : view.peers) {
+        if (!peer.everyPeriod)
+            continue;
+        if (peer.heardAge < limits.freshPeer)
+            return false;
+        anyRegular = true;
+    }
+    return anyRegular;
 }
 
 std::optional<std::size_t> configurationPeer(const ContactView &view, const IsolationLimits &limits)
--- a/chestnutvane/process/isolation.h
+++ b/chestnutvane/process/isolation.h
@@ -1,12 +1,12 @@
-// Decides from the ages of contacts whether an instance may take new work, whether it may grant as
-// a broker, and which peer it learns the configuration from (design 7.1, 7.3, 10).
+// Decides from the ages of contacts whether an instance may take new work, whether the holder of a
+// broker role may grant, and which peer it learns the configuration from (design 7.1, 7.3, 10).
 //
 // Example:
 //
 //   if (mayTakeWork(view, limits) == WorkVerdict::Isolated)
 //       refuse with 503 and Reason::Isolated;
-//   if (const GrantAuthority verdict = mayGrant(renewalAge, view, limits); !isGranting(verdict))
-//       refuse the grant and log the verdict;
+//   if (isGranting(mayGrant(renewalAge, view, limits)))
+//       broker.setAuthority(now + outageGrantTime);
 //
 // An absent age means that there was no contact since the start. Functions without state, safe to
 // call from any thread.
@@ -27,9 +27,9 @@
     Milliseconds leaseTtl{5000};
     Milliseconds leaseMargin{1000}; // granting on the lease alone ends this long before the TTL
     Milliseconds peerSilence{1500}; // a peer silent for longer is not reachable
-    // A broker without a valid lease needs every reachable peer heard within three heartbeats. So
-    // it grants for at most this long after it was cut off and replaced; the rebuild of the new
-    // broker (design 7.1) counts such grants.
+    // A broker without a valid lease needs every reachable peer that sends in each period heard
+    // within three heartbeats, and at least one. So it grants for at most this long after it was
+    // cut off and replaced; the rebuild of the new broker (design 7.1) counts such grants.
     Milliseconds freshPeer{600};
     // Leases are renewed each 1.5 s, so an instance that reaches the store has a younger contact.
     // It must stay below leaseTtl - leaseMargin - 1.5 s = 2.5 s: then, when the store goes down,
@@ -42,6 +42,7 @@
 {
     Duration heardAge{}; // since its last heartbeat arrived
     std::optional<Duration> storeContactAge; // as reported in that heartbeat
+    bool everyPeriod = true; // it sends this instance a heartbeat in each period
 };
 
 struct ContactView
@@ -100,6 +101,9 @@
 GrantAuthority mayGrant(std::optional<Duration> renewalAge, const ContactView &view,
                         const IsolationLimits &limits);
 
+// Whether there are peers that send in each period, and none of them was heard lately.
+bool isNoPeerFresh(const ContactView &view, const IsolationLimits &limits);
+
 // Returns the index of the reachable peer with the youngest store contact, if this instance has no
 // present contact and that peer has. The configuration is then fetched from it.
 std::optional<std::size_t> configurationPeer(const ContactView &view,
--- a/chestnutvane/process/isolation_test.cc
+++ b/chestnutvane/process/isolation_test.cc
@@ -1,5 +1,6 @@
 #include "chestnutvane/process/isolation.h"
 
+#include <algorithm>
 #include <functional>
 #include <iostream>
 #include <random>
@@ -100,6 +101,24 @@
     EXPECT_GT(simulate(naive, 200).doubleGrants, 100);
 }
 
+// The rule that the daemon had of its own before it used mayGrant().
+TEST(GrantModelTest, FindsRuleThatTakesSilenceForAnOutage)
+{
+    const Decide naive = [](auto renewalAge, const ContactView &view) {
+        if (*renewalAge < Milliseconds{4000})
+            return GrantAuthority::LeaseHeld;
+        const IsolationLimits limits;
+        const bool reported = std::any_of(
+                view.peers.begin(), view.peers.end(), [&limits](const PeerContact &peer) {
+                    return peer.heardAge <= limits.peerSilence && peer.storeContactAge
+                            && *peer.storeContactAge <= limits.presentContact;
+                });
+        const bool isolated = mayTakeWork(view, limits) == WorkVerdict::Isolated;
+        return reported || isolated ? GrantAuthority::PeerReachesStore : GrantAuthority::StoreDown;
+    };
+    EXPECT_GT(simulate(naive, 200).doubleGrants, 100);
+}
+
 TEST(GrantModelTest, FindsRuleThatForgetsEarlierContact)
 {
     const Decide naive = [](auto renewalAge, const ContactView &view) {
--- a/chestnutvane/process/member_service.cc
+++ b/chestnutvane/process/member_service.cc
@@ -98,6 +98,8 @@
     instance_.membership.use([&](MembershipState &state) {
         if (now - state.lastBeat > instance_.settings.heartbeat * (internal::stallPeriods + 1))
             state.stalledAt = now;
+        if (state.table.isMesh() && isNoPeerFresh(contactView(state, now), {}))
+            state.stalledAt = now;
         state.lastBeat = now;
         for (const auto &target : state.table.heartbeatTargets(now)) {
             if (target.peerAddress != state.table.self().peerAddress)
--- a/chestnutvane/process/membership.h
+++ b/chestnutvane/process/membership.h
@@ -233,6 +233,9 @@
 class MembershipTable
 {
 public:
+    // Whether every member sends to every other one in each period.
+    [[nodiscard]] bool isMesh() const { return mesh_; }
+
     MembershipTable(MemberRecord self, MembershipOptions options);
 
     // Replaces the own record. Keeps id, incarnation and generation, raises the sequence number,
