Send a refused request to a region that has room

Cause: after the death of a broker its region refused callers for about 7 s: each request waited the whole queue limit for the missing broker, and the next broker counts the slots that a dead holder may still use and refuses as overloaded, which was final although another region was idle.

Change: request/fallback_region picks another region by free slots and free link for refusals that concern one region, weighted by a random point. A unit without a broker is waited for 100 ms in all where another region has room. Ruled out: a shorter lease (more store writes at 830 instances) and taking a refused connect for a proof of death (a network element can send it too, and then two brokers grant).

--- a/chestnutvane/process/caller_service.cc
+++ b/chestnutvane/process/caller_service.cc
@@ -15,6 +15,9 @@
 constexpr std::string_view servicePrefix = "/s/";
 constexpr std::string_view lookUpPath = "/v1/look-up";
 constexpr Milliseconds probeTimeout{500};
+// A planned handover of a broker takes less; a request that goes to another region instead pays a
+// round trip of about this length.
+constexpr Milliseconds brokerWait{100};
 constexpr int notFound = 404;
 constexpr int badRequest = 400;
 constexpr int unavailable = 503;
@@ -182,13 +185,14 @@
                                         call->request.path, call->request.query, *call->body})
                                    .low;
     incoming.deadline = call->deadline;
-    incoming.regions = lookUps_.servingRegions(*call->version, call->requestClass.service);
-    if (incoming.regions.empty()) {
+    const auto region = lookUps_.firstRegion(*call->version, call->requestClass.service);
+    if (!region) {
         done({.outcome = Outcome::NotRun,
               .reason = Reason::NoTarget,
               .status = internal::unavailable});
         return;
     }
+    incoming.region = *region;
     instance_.retryBudget.use([](RetryBudget &budget) { budget.onRequest(); });
     RequestFlow::create(makeServices(call, std::move(retry)), std::move(incoming), std::move(done))
             ->start();
@@ -202,6 +206,8 @@
     services.now = [] { return Clock::now(); };
     services.askGrant = [this, call](GrantWish wish, std::function<void(GrantReply)> reply) {
         const auto region = wish.region;
+        if (lookUps_.hasRoomElsewhere(*call->version, call->requestClass.service, region))
+            wish.brokerWait = std::min<Duration>(wish.queueLimit, internal::brokerWait);
         grants_.ask(std::move(wish),
                     [this, call, region, reply = std::move(reply)](GrantReply result) {
                         if (const auto *slot = std::get_if<HeldSlot>(&result))
@@ -211,6 +217,14 @@
                         reply(std::move(result));
                     });
     };
+    services.fallbackRegion = [this, call](std::span<const std::string> tried, Reason reason) {
+        const double point = static_cast<double>(randomNumber() >> 11) * 0x1p-53;
+        auto next = lookUps_.fallbackRegion(*call->version, call->requestClass.service, tried,
+                                            reason, point);
+        if (next)
+            noteFallback(*call, tried.back(), *next, reason);
+        return next;
+    };
     services.release = [this, call](const HeldSlot &slot, GrantResult result,
                                     Duration serviceTime) {
         grants_.release(slot, result, serviceTime);
@@ -271,6 +285,19 @@
                   {"reason", "granted-by-broker"}});
 }
 
+void CallerService::noteFallback(const Call &call, const std::string &from, const std::string &to,
+                                 Reason reason)
+{
+    instance_.metrics.increment("vane_fallbacks_total", {{"from", from}, {"to", to}});
+    if (isSampled(call.number))
+        logEvent(Event::RequestFellBack,
+                 {{"request", call.number},
+                  {"class", call.requestClass.name},
+                  {"from", from},
+                  {"to", to},
+                  {"reason", enumName(reasonNames, reason)}});
+}
+
 void CallerService::noteRelease(const Call &call, const HeldSlot &slot, GrantResult result,
                                 Duration serviceTime)
 {
--- a/chestnutvane/process/grant_service.cc
+++ b/chestnutvane/process/grant_service.cc
@@ -46,6 +46,7 @@
     }
     const auto location = brokers_.locate(ask->wish.service, ask->wish.region);
     if (!location) {
+        noteBroker(*ask, false);
         retryLater(ask);
         return;
     }
@@ -79,6 +80,7 @@
                               }
                               instance_.grants.use(
                                       [&](GrantHolder &grants) { grants.abandon(ask->sequence); });
+                              noteBroker(*ask, false);
                               retryLater(ask);
                           });
 }
@@ -86,7 +88,10 @@
 void GrantService::retryLater(const std::shared_ptr<Ask> &ask)
 {
     const auto now = Clock::now();
-    if (now - ask->startedAt >= ask->wish.queueLimit) {
+    const bool waitIsShort = ask->wish.brokerWait && *ask->wish.brokerWait < ask->wish.queueLimit;
+    const auto since =
+            waitIsShort ? std::min(ask->startedAt, brokerLostAt(ask->unit)) : ask->startedAt;
+    if (now - since >= ask->wish.brokerWait.value_or(ask->wish.queueLimit)) {
         ask->callback(Reason::BrokerUnreachable);
         return;
     }
@@ -110,6 +115,7 @@
 
 void GrantService::onAnswer(const std::shared_ptr<Ask> &ask, const GrantAnswer &answer)
 {
+    noteBroker(*ask, answer.reason != Reason::BrokerUnreachable);
     if (answer.reason != Reason::None) {
         instance_.grants.use([&](GrantHolder &grants) { grants.abandon(ask->sequence); });
         if (answer.reason == Reason::BrokerUnreachable)
@@ -175,6 +181,22 @@
                               internal::releaseTimeout, [](Result<std::string, PeerError>) {});
 }
 
+void GrantService::noteBroker(const Ask &ask, bool answered)
+{
+    const std::lock_guard lock(usedMutex_);
+    if (answered)
+        brokerLostAt_.erase(ask.unit);
+    else
+        brokerLostAt_.emplace(ask.unit, Clock::now());
+}
+
+TimePoint GrantService::brokerLostAt(UnitId unit)
+{
+    const std::lock_guard lock(usedMutex_);
+    const auto lost = brokerLostAt_.find(unit);
+    return lost == brokerLostAt_.end() ? TimePoint::max() : lost->second;
+}
+
 void GrantService::noteUse(const std::string &service, const std::string &region)
 {
     const std::lock_guard lock(usedMutex_);
--- a/chestnutvane/process/grant_service.h
+++ b/chestnutvane/process/grant_service.h
@@ -48,6 +48,11 @@
 
     void noteUse(const std::string &service, const std::string &region);
 
+    // Notes whether the broker of a unit answered.
+    void noteBroker(const Ask &ask, bool answered);
+    // The time of the first try since which the unit's broker did not answer; max() if it did.
+    TimePoint brokerLostAt(UnitId unit);
+
     void tryBroker(const std::shared_ptr<Ask> &ask);
     void retryLater(const std::shared_ptr<Ask> &ask);
     void onAnswer(const std::shared_ptr<Ask> &ask, const GrantAnswer &answer);
@@ -57,8 +62,9 @@
 
     Instance &instance_;
     BrokerService &brokers_;
-    std::mutex usedMutex_; // guards used_ only; no other lock is taken under it
+    std::mutex usedMutex_; // guards the two maps; no other lock is taken under it
     std::map<UnitId, UsedUnit> used_;
+    std::map<UnitId, TimePoint> brokerLostAt_;
 };
 
 } // namespace chestnutvane
--- a/chestnutvane/process/look_up_service.cc
+++ b/chestnutvane/process/look_up_service.cc
@@ -135,18 +135,63 @@
     return answer;
 }
 
-std::vector<std::string> LookUpService::servingRegions(const Version &version,
-                                                       const std::string &service)
+std::vector<FallbackRegion> LookUpService::fallbackCandidates(const Version &version,
+                                                              const std::string &service,
+                                                              std::span<const std::string> tried)
 {
-    std::vector<std::string> regions;
-    const auto own = regionOfZone(version, instance_.settings.zone);
-    if (hasTargets(version, service, own))
-        regions.push_back(own);
-    for (const auto &region : version.rules.regions) {
-        if (region.name != own && hasTargets(version, service, region.name))
-            regions.push_back(region.name);
+    std::vector<FallbackRegion> candidates;
+    const auto serviceIndex = findService(version.plan, service);
+    if (!serviceIndex)
+        return candidates;
+    const auto regions = version.plan.regions.size();
+    const auto from = tried.empty() ? std::nullopt : findRegion(version.plan, tried.front());
+    // A snapshot of another revision may order its units differently; it is replaced within 50 ms.
+    const auto current = snapshot();
+    const bool known = current && current->version->revision == version.revision;
+    for (RegionId id = 0; id < regions; ++id) {
+        const auto &name = version.plan.regions[id].name;
+        if (std::find(tried.begin(), tried.end(), name) != tried.end()
+            || !hasTargets(version, service, name))
+            continue;
+        FallbackRegion candidate{.region = id};
+        if (known) {
+            const auto &unit = current->units[*serviceIndex * regions + id];
+            candidate.headroom = unit.headroom;
+            candidate.slots = unit.slots;
+        }
+        if (known && from)
+            candidate.linkShare = current->linkShare[*from * regions + id];
+        candidates.push_back(candidate);
     }
-    return regions;
+    return candidates;
+}
+
+std::optional<std::string> LookUpService::firstRegion(const Version &version,
+                                                      const std::string &service)
+{
+    auto own = regionOfZone(version, instance_.settings.zone);
+    if (hasTargets(version, service, own))
+        return own;
+    return fallbackRegion(version, service, {}, Reason::NoTarget, 0);
+}
+
+std::optional<std::string> LookUpService::fallbackRegion(const Version &version,
+                                                         const std::string &service,
+                                                         std::span<const std::string> tried,
+                                                         Reason reason, double point)
+{
+    const auto candidates = fallbackCandidates(version, service, tried);
+    const auto index = chooseFallback(candidates, reason, point);
+    if (!index)
+        return std::nullopt;
+    return version.plan.regions[candidates[*index].region].name;
+}
+
+bool LookUpService::hasRoomElsewhere(const Version &version, const std::string &service,
+                                     const std::string &from)
+{
+    const auto candidates = fallbackCandidates(version, service, {&from, 1});
+    return std::any_of(candidates.begin(), candidates.end(), hasRoom);
 }
 
 } // namespace chestnutvane
--- a/chestnutvane/process/look_up_service.h
+++ b/chestnutvane/process/look_up_service.h
@@ -11,12 +11,15 @@
 #pragma once
 
 #include <memory>
+#include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/process/instance.h"
 #include "chestnutvane/process/shared_snapshot.h"
+#include "chestnutvane/request/fallback_region.h"
 #include "chestnutvane/request/outcome.h"
 #include "chestnutvane/version/entry_choice.h"
 
@@ -67,11 +70,25 @@
     // client is no address), NoTarget (no instance is live).
     Result<LookUpAnswer, Reason> lookUp(const std::string &service, const std::string &client);
 
-    // The regions that may serve a request that arrived here, best first.
-    std::vector<std::string> servingRegions(const Version &version, const std::string &service);
+    // The region that a request that arrived here is tried in first: the own one, or if it has no
+    // target of the service, a fallback. Nothing: no region has a target.
+    std::optional<std::string> firstRegion(const Version &version, const std::string &service);
+
+    // The region to try after the last of "tried" refused for a reason, or nothing. "point" in
+    // [0, 1) spreads the requests over the regions with room.
+    std::optional<std::string> fallbackRegion(const Version &version, const std::string &service,
+                                              std::span<const std::string> tried, Reason reason,
+                                              double point);
+
+    // Whether a region other than "from" has room for requests of the service.
+    bool hasRoomElsewhere(const Version &version, const std::string &service,
+                          const std::string &from);
 
 private:
     std::shared_ptr<const RoutingSnapshot> snapshot();
+    std::vector<FallbackRegion> fallbackCandidates(const Version &version,
+                                                   const std::string &service,
+                                                   std::span<const std::string> tried);
 
     Instance &instance_;
     SharedSnapshot<RoutingSnapshot> snapshot_;
--- a/chestnutvane/request/request_flow.cc
+++ b/chestnutvane/request/request_flow.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "chestnutvane/request/fallback_region.h"
+
 namespace chestnutvane {
 namespace internal {
 namespace {
@@ -70,7 +72,8 @@
 }
 
 RequestFlow::RequestFlow(RequestServices services, IncomingRequest request, Callback callback)
-    : services_(std::move(services)), request_(std::move(request)), callback_(std::move(callback))
+    : services_(std::move(services)), request_(std::move(request)),
+      callback_(std::move(callback)), regions_{request_.region}
 { }
 
 void RequestFlow::start()
@@ -98,7 +101,7 @@
             return;
         ++running_;
         wish = {.service = request_.requestClass.service,
-                .region = request_.regions[std::min(regionIndex_, request_.regions.size() - 1)],
+                .region = regions_.back(),
                 .importance = request_.requestClass.importance,
                 .queueLimit = request_.requestClass.queueLimit,
                 .deadline = request_.deadline,
@@ -140,15 +143,20 @@
         --running_;
         if (finished_ || running_ > 0)
             return; // another attempt is still in progress and will answer
-        const bool elsewhere = reason == Reason::NoTarget || reason == Reason::BrokerUnreachable;
-        tryNextRegion = elsewhere && !hedge && regionIndex_ + 1 < request_.regions.size()
-                && services_.now() < request_.deadline;
-        if (tryNextRegion)
-            ++regionIndex_;
+        if (firstRefusal_ == Reason::None)
+            firstRefusal_ = reason;
+        if (!hedge && services_.now() < request_.deadline) {
+            if (auto next = services_.fallbackRegion(regions_, reason)) {
+                tryNextRegion = true;
+                regions_.push_back(std::move(*next));
+            }
+        }
+        // The refusal of the first region says more than that of a fallback.
+        const Reason told = isRegional(reason) ? firstRefusal_ : reason;
         const Outcome outcome = coveringOutcome(history_);
         result = {.outcome = outcome,
-                  .reason = reason,
-                  .status = statusOf(outcome, reason),
+                  .reason = told,
+                  .status = statusOf(outcome, told),
                   .attempts = history_.attempts};
     }
     if (tryNextRegion)
@@ -164,6 +172,7 @@
         const std::lock_guard lock(mutex_);
         index = attempts_.size();
         tried_.add(slot.target);
+        firstRefusal_ = Reason::None;
         attempts_.push_back({.slot = slot, .startedAt = services_.now()});
     }
     const auto id = services_.send(exchangeRequest(index, slot),
--- a/chestnutvane/request/request_flow.h
+++ b/chestnutvane/request/request_flow.h
@@ -16,6 +16,8 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -42,7 +44,7 @@
     std::shared_ptr<const std::string> body;
     std::uint64_t fingerprint = 0;
     TimePoint deadline;
-    std::vector<std::string> regions; // to be tried in this order
+    std::string region; // to be tried first
 };
 
 // What a flow asks the unit's broker for.
@@ -52,6 +54,8 @@
     std::string region;
     int importance = 0;
     Duration queueLimit{};
+    // How long a unit without a reachable broker is waited for; queueLimit if not set.
+    std::optional<Duration> brokerWait;
     TimePoint deadline;
     std::uint64_t fingerprint = 0;
     TriedTargets tried;
@@ -88,6 +92,9 @@
     // Stops the reuse of the open connections to a target.
     std::function<void(const HeldSlot &)> abandonConnections;
     std::function<bool(const RequestClass &, const AttemptHistory &, Duration remaining)> mayRetry;
+    // The region to ask after the last one of "tried" refused a grant, or nothing.
+    std::function<std::optional<std::string>(std::span<const std::string> tried, Reason)>
+            fallbackRegion;
     // Runs a task after a delay.
     std::function<void(Duration, std::function<void()>)> after;
 };
@@ -150,14 +157,15 @@
     RequestServices services_;
     IncomingRequest request_;
 
-    // Guards all below. Of the services only now() and mayRetry() are called under it; they must
-    // not call back into the flow.
+    // Guards all below. Of the services only now(), mayRetry() and fallbackRegion() are called
+    // under it; they must not call back into the flow.
     std::mutex mutex_;
     Callback callback_;
     std::vector<Attempt> attempts_;
     AttemptHistory history_;
     TriedTargets tried_;
-    std::size_t regionIndex_ = 0;
+    std::vector<std::string> regions_; // tried ones, the current one last
+    Reason firstRefusal_ = Reason::None; // of a broker, since the last attempt
     int running_ = 0; // attempts in progress or waiting for a grant
     bool finished_ = false;
 };
--- a/chestnutvane/request/request_flow_test.cc
+++ b/chestnutvane/request/request_flow_test.cc
@@ -55,7 +55,7 @@
         request.requestClass.repeat = repeat_;
         request.path = "/p";
         request.deadline = now + seconds(5);
-        request.regions = {"near", "far"};
+        request.region = "near";
         auto flow = RequestFlow::create(services(), std::move(request), [this](FlowResult result) {
             results.push_back(std::move(result));
         });
@@ -104,6 +104,7 @@
         bool afterMayHaveRun = false; // an earlier attempt had ended and may have run
     };
     TimePoint now{seconds(1000)};
+    bool roomElsewhere = false;
     std::vector<std::pair<GrantWish, std::function<void(GrantReply)>>> asks;
     std::vector<Send> sends;
     std::vector<std::function<void(bool)>> probes;
@@ -157,6 +158,13 @@
             return mayRetry(requestClass, history, remaining, Duration::zero(), budget_)
                     == RetryVerdict::Retry;
         };
+        services.fallbackRegion = [this](std::span<const std::string> tried,
+                                         Reason reason) -> std::optional<std::string> {
+            const bool elsewhere = reason == Reason::NoTarget || reason == Reason::BrokerUnreachable
+                    || (reason == Reason::Overloaded && roomElsewhere);
+            return elsewhere && tried.size() == 1 ? std::optional<std::string>("far")
+                                                  : std::nullopt;
+        };
         return services;
     }
 
@@ -325,6 +333,22 @@
     EXPECT_EQ(process.results[0].outcome, Outcome::NotRun);
 }
 
+// Guards against a refusal while another region has room, and against the reason of the fallback
+// hiding the one of the caller's own region.
+TEST(RequestFlowTest, OverloadedRequestGoesWhereThereIsRoom)
+{
+    FakeProcess process(Repeat::AtMostOnce);
+    process.roomElsewhere = true;
+    process.startFlow();
+    process.refuse(Reason::Overloaded);
+    ASSERT_EQ(process.asks.size(), 1U);
+    EXPECT_EQ(process.asks[0].first.region, "far");
+    process.refuse(Reason::NoTarget);
+    ASSERT_EQ(process.results.size(), 1U);
+    EXPECT_EQ(process.results[0].outcome, Outcome::NotRun);
+    EXPECT_EQ(process.results[0].reason, Reason::Overloaded);
+}
+
 void runRandomEvent(FakeProcess &process, int draw)
 {
     const auto pick = static_cast<std::size_t>(draw / 8);
--- a/testing/fault_load.cc
+++ b/testing/fault_load.cc
@@ -247,4 +247,15 @@
     return text;
 }
 
+std::string brokerOf(Deployment &deployment, const std::string &region)
+{
+    for (const auto &instance : deployment.instances()) {
+        for (const auto &unit : deployment.status(instance.id).value("units", json::array())) {
+            if (unit.value("region", "") == region)
+                return instance.id;
+        }
+    }
+    return {};
+}
+
 } // namespace chestnutvane
--- a/testing/fault_load.h
+++ b/testing/fault_load.h
@@ -124,4 +124,7 @@
 // Sums up calls by outcome, reason and status, for the message of a failed check.
 std::string summary(const std::vector<CallRecord> &calls);
 
+// Returns the instance that has the broker of a region, or nothing.
+std::string brokerOf(Deployment &deployment, const std::string &region);
+
 } // namespace chestnutvane
--- a/testing/target_fault_test.cc
+++ b/testing/target_fault_test.cc
@@ -26,18 +26,6 @@
     });
 }
 
-// Returns the instance that has the broker of a region, or nothing.
-std::string brokerOf(Deployment &deployment, const std::string &region)
-{
-    for (const auto &instance : deployment.instances()) {
-        for (const auto &unit : deployment.status(instance.id).value("units", json::array())) {
-            if (unit.value("region", "") == region)
-                return instance.id;
-        }
-    }
-    return {};
-}
-
 // Guards against one request that takes down target after target, because its caller sends it
 // again through every instance, and against neighbours that fail with it.
 TEST(TargetFaultTest, CrashingRequestIsStopped)
