--- a/cmake/ChestnutvaneTargets.cmake
+++ b/cmake/ChestnutvaneTargets.cmake
@@ -23,7 +23,7 @@
                           rapidcheck GTest::gtest GTest::gtest_main)
     gtest_discover_tests(${ARG_NAME} TEST_PREFIX "${ARG_NAME}." DISCOVERY_TIMEOUT 120
         PROPERTIES
-        ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=${CHESTNUTVANE_RC_CASES}"
+        ENVIRONMENT "RC_PARAMS=seed=${CHESTNUTVANE_RC_SEED} max_success=${CHESTNUTVANE_RC_CASES}"
         LABELS "${ARG_LABELS}")
 endfunction()
 
