Cancel the request of a caller that goes away

Cause: RESTinio does not read while a request is handled, so a caller that closed its connection was noticed when its answer was written. Its slot stayed taken until the work or the deadline ended.

Change: the server's socket waits for readability while no read is pending and peeks; a close is told to the request through CloseWatch. Idempotent requests are then cancelled at the target; a one-time request runs on, because its result is kept for a repeat. The slot of a cancelled or timed out exchange is kept for 250 ms more, until the target can have seen the close. Ruled out: letting RESTinio read on with two pipelined requests, which doubles the memory of a connection and makes RefusingSocket refuse requests that may run.

CloseBeforeTheAnswerIsTold fails without the wait.

--- a/chestnutvane/connection/http_server.cc
+++ b/chestnutvane/connection/http_server.cc
@@ -125,10 +125,15 @@
             internal::sendResponse(request, internal::bodyTooLarge());
             return restinio::request_accepted();
         }
-        handler(internal::toServerRequest(request),
-                [context = weakContext.lock(), request](ServerResponse response) {
-                    internal::sendResponse(request, std::move(response));
-                });
+        auto context = weakContext.lock();
+        const auto peer = request->remote_endpoint();
+        auto received = internal::toServerRequest(request);
+        const auto watch = asio::use_service<CloseWatches>(*context).add(peer);
+        received.closeWatch = watch;
+        handler(std::move(received), [context, request, peer, watch](ServerResponse response) {
+            asio::use_service<CloseWatches>(*context).remove(peer, watch);
+            internal::sendResponse(request, std::move(response));
+        });
         return restinio::request_accepted();
     };
     const auto readLimit = static_cast<std::uint64_t>(options.maxBodyBytes) * internal::readFactor;
--- a/chestnutvane/connection/http_server.h
+++ b/chestnutvane/connection/http_server.h
@@ -18,6 +18,7 @@
 
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/base/time.h"
+#include "chestnutvane/connection/close_watch.h"
 #include "chestnutvane/connection/http_client.h"
 
 namespace chestnutvane {
@@ -31,6 +32,9 @@
     std::string body;
     std::string remoteAddress; // IP address of the peer
     std::uint16_t remotePort = 0;
+    // Tells of a close by the peer before the answer. Not of one behind a further request on the
+    // same connection. A peer that closes only its sending side counts as gone.
+    std::shared_ptr<CloseWatch> closeWatch;
 };
 
 struct ServerResponse
--- a/chestnutvane/connection/http_server_test.cc
+++ b/chestnutvane/connection/http_server_test.cc
@@ -4,6 +4,7 @@
 
 #include <asio.hpp>
 #include <atomic>
+#include <thread>
 
 namespace chestnutvane {
 namespace {
@@ -25,6 +26,7 @@
 {
 protected:
     std::atomic<int> handled_{0};
+    std::atomic<int> closes_{0}; // before the answer
     std::vector<Responder> kept_; // of requests that are never answered
     std::unique_ptr<HttpServer> server_ = value(HttpServer::create(
             {.address = "127.0.0.1",
@@ -34,6 +36,7 @@
              .handleTimeout = Milliseconds(500)},
             [this](ServerRequest request, const Responder &respond) {
                 ++handled_;
+                request.closeWatch->onClose([this] { ++closes_; });
                 if (request.path == "/never")
                     kept_.push_back(respond);
                 else
@@ -77,5 +80,29 @@
     EXPECT_EQ(answer.find("not-run"), std::string::npos) << answer;
 }
 
+// Guards against work for a caller that went away, and against a close told of a caller that has
+// its answer or still waits for it.
+TEST_F(HttpServerTest, CloseBeforeTheAnswerIsTold)
+{
+    const std::string request = "GET /never HTTP/1.1\r\nHost: x\r\n\r\n";
+    converse(server_->port(), "GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+    asio::io_context context;
+    asio::ip::tcp::socket waiting(context);
+    waiting.connect({asio::ip::make_address("127.0.0.1"), server_->port()});
+    asio::write(waiting, asio::buffer(request));
+    {
+        asio::ip::tcp::socket leaving(context);
+        leaving.connect({asio::ip::make_address("127.0.0.1"), server_->port()});
+        asio::write(leaving, asio::buffer(request));
+        while (handled_ < 3)
+            std::this_thread::yield();
+        EXPECT_EQ(closes_, 0);
+    }
+    const auto limit = Clock::now() + std::chrono::seconds(20);
+    while (closes_ == 0 && Clock::now() < limit)
+        std::this_thread::yield();
+    EXPECT_EQ(closes_, 1);
+}
+
 } // namespace
 } // namespace chestnutvane
--- a/chestnutvane/connection/refusing_socket.h
+++ b/chestnutvane/connection/refusing_socket.h
@@ -16,6 +16,9 @@
 #include <asio.hpp>
 #include <memory>
 #include <string>
+#include <utility>
+
+#include "chestnutvane/connection/close_watch.h"
 
 namespace chestnutvane {
 
@@ -41,13 +44,15 @@
                 buffers,
                 asio::bind_executor(
                         executor,
-                        [state = state_, next = std::forward<ReadHandler>(handler)](
+                        [this, state = state_, executor, next = std::forward<ReadHandler>(handler)](
                                 const asio::error_code &failure, std::size_t bytes) mutable {
                             state->received += bytes;
                             state->readPending = false;
                             state->parsing = true;
                             next(failure, bytes);
                             state->parsing = false;
+                            if (!failure && !state->readPending)
+                                watchForClose(state, executor, std::move(next));
                         }));
     }
 
@@ -74,8 +79,41 @@
         std::size_t received = 0; // bytes since the last answer
         bool readPending = false;
         bool parsing = false; // inside the handler of a read
+        bool watching = false; // waits for a close by the peer
     };
 
+    // Waits for a close by the peer while RESTinio handles a request and does not read. "owner",
+    // the handler of the last read, keeps the connection and with it this socket alive.
+    template <class Executor, class Owner>
+    void watchForClose(const std::shared_ptr<State> &state, const Executor &executor, Owner &&owner)
+    {
+        if (std::exchange(state->watching, true))
+            return;
+        Base::async_wait(wait_read,
+                         asio::bind_executor(executor,
+                                             [this, state, owner = std::forward<Owner>(owner)](
+                                                     const asio::error_code &failure) {
+                                                 state->watching = false;
+                                                 if (!failure && !state->readPending)
+                                                     notifyIfClosed();
+                                             }));
+    }
+
+    // Bytes of a further request end the watch: a close behind them is seen when they are read.
+    void notifyIfClosed()
+    {
+        asio::error_code failure;
+        const auto peer = remote_endpoint(failure);
+        const bool known = !failure;
+        non_blocking(true, failure);
+        char byte = 0;
+        Base::receive(asio::buffer(&byte, 1), message_peek, failure);
+        const bool closed = failure && failure != asio::error::would_block;
+        if (known && closed)
+            asio::use_service<CloseWatches>(asio::query(get_executor(), asio::execution::context))
+                    .notify(peer);
+    }
+
     void refuse()
     {
         const char *status = state_->readPending  ? "408 Request Timeout"
--- a/chestnutvane/process/caller_service.cc
+++ b/chestnutvane/process/caller_service.cc
@@ -194,8 +194,15 @@
     }
     incoming.region = *region;
     instance_.retryBudget.use([](RetryBudget &budget) { budget.onRequest(); });
-    RequestFlow::create(makeServices(call, std::move(retry)), std::move(incoming), std::move(done))
-            ->start();
+    const auto flow = RequestFlow::create(makeServices(call, std::move(retry)), std::move(incoming),
+                                          std::move(done));
+    // The result of an at-most-once request is kept for a repeat, so it runs on without its caller.
+    if (call->request.closeWatch && call->requestClass.repeat != Repeat::AtMostOnce)
+        call->request.closeWatch->onClose([weak = std::weak_ptr(flow)] {
+            if (const auto running = weak.lock())
+                running->cancel();
+        });
+    flow->start();
 }
 
 RequestServices CallerService::makeServices(
--- a/chestnutvane/process/grant_service.cc
+++ b/chestnutvane/process/grant_service.cc
@@ -8,6 +8,9 @@
 constexpr Milliseconds releaseTimeout{1000};
 // Ten lists at the usual period; also covers a broker that was taken over in the meantime.
 constexpr Milliseconds listedFor{2000};
+// A target sees the close of a cancelled or timed out request up to one region link (55 ms) later
+// and must then stop, so the slot is kept for longer than that.
+constexpr Milliseconds cancelSettleTime{250};
 // A broker answers within the queue limit; the rest is for the way there and back.
 constexpr Milliseconds answerSlack{500};
 
@@ -150,6 +153,16 @@
 }
 
 void GrantService::release(const HeldSlot &slot, GrantResult result, Duration serviceTime)
+{
+    if (result == GrantResult::Cancelled || result == GrantResult::TimedOut)
+        instance_.workers->after(internal::cancelSettleTime, [this, slot, result, serviceTime] {
+            finishRelease(slot, result, serviceTime);
+        });
+    else
+        finishRelease(slot, result, serviceTime);
+}
+
+void GrantService::finishRelease(const HeldSlot &slot, GrantResult result, Duration serviceTime)
 {
     const bool held = instance_.grants.use(
             [&](GrantHolder &grants) { return grants.finish(slot.id, slot.unit); });
--- a/chestnutvane/process/grant_service.h
+++ b/chestnutvane/process/grant_service.h
@@ -29,7 +29,8 @@
     // has passed; the answer then is BrokerUnreachable. The callback is called once, on any thread.
     void ask(GrantWish wish, std::function<void(GrantReply)> callback);
 
-    // Ends a grant. A release that is lost is made good by the next list of held grants.
+    // Ends a grant; the slot of a cancelled or timed out request is kept until its target can
+    // have stopped. A release that is lost is made good by the next list of held grants.
     void release(const HeldSlot &slot, GrantResult result, Duration serviceTime);
 
     // Sends the lists of held grants to the brokers of all units that this instance used within
@@ -46,6 +47,7 @@
         TimePoint lastUse;
     };
 
+    void finishRelease(const HeldSlot &slot, GrantResult result, Duration serviceTime);
     void noteUse(const std::string &service, const std::string &region);
 
     // Notes whether the broker of a unit answered.
--- a/chestnutvane/request/request_flow.cc
+++ b/chestnutvane/request/request_flow.cc
@@ -179,8 +179,14 @@
                                    [self = shared_from_this(), index](ExchangeResult result) {
                                        self->onExchange(index, std::move(result));
                                    });
-    const std::lock_guard lock(mutex_);
-    attempts_[index].sendId = id;
+    bool unwanted = false;
+    {
+        const std::lock_guard lock(mutex_);
+        attempts_[index].sendId = id;
+        unwanted = finished_ && !attempts_[index].done;
+    }
+    if (unwanted) // the request ended while the exchange was begun
+        services_.cancelExchange(id);
 }
 
 HttpRequest RequestFlow::exchangeRequest(std::size_t index, const HeldSlot &slot)
@@ -281,7 +287,7 @@
                   .attempts = history_.attempts};
     }
     finish(std::move(result));
-    cancelOthers(index);
+    cancelExchanges();
 }
 
 void RequestFlow::onFailure(std::size_t index, Outcome outcome, Reason reason)
@@ -328,17 +334,37 @@
     callback(std::move(result));
 }
 
-void RequestFlow::cancelOthers(std::size_t winner)
+void RequestFlow::cancel()
+{
+    FlowResult result;
+    {
+        const std::lock_guard lock(mutex_);
+        auto history = history_;
+        for (const auto &attempt : attempts_) {
+            if (!attempt.done)
+                history = withAttempt(history, Outcome::Unknown);
+        }
+        const Outcome outcome = coveringOutcome(history);
+        result = {.outcome = outcome,
+                  .reason = Reason::Cancelled,
+                  .status = statusOf(outcome, Reason::Cancelled),
+                  .attempts = history.attempts};
+    }
+    finish(std::move(result));
+    cancelExchanges();
+}
+
+void RequestFlow::cancelExchanges()
 {
-    std::vector<HttpClient::SendId> others;
+    std::vector<HttpClient::SendId> open;
     {
         const std::lock_guard lock(mutex_);
-        for (std::size_t i = 0; i < attempts_.size(); ++i) {
-            if (i != winner && !attempts_[i].done)
-                others.push_back(attempts_[i].sendId);
+        for (const auto &attempt : attempts_) {
+            if (!attempt.done && attempt.sendId != 0)
+                open.push_back(attempt.sendId);
         }
     }
-    for (const auto id : others)
+    for (const auto id : open)
         services_.cancelExchange(id);
 }
 
--- a/chestnutvane/request/request_flow.h
+++ b/chestnutvane/request/request_flow.h
@@ -126,6 +126,10 @@
 
     void start();
 
+    // Ends the request because its caller went away: the exchanges are cancelled and the grants
+    // given back. The result is "cancelled".
+    void cancel();
+
 private:
     struct Attempt
     {
@@ -149,7 +153,7 @@
     void onAnswer(std::size_t index, HttpResponse response);
     void onFailure(std::size_t index, Outcome outcome, Reason reason);
     void finish(FlowResult result);
-    void cancelOthers(std::size_t winner);
+    void cancelExchanges(); // those in progress
     HttpRequest exchangeRequest(std::size_t index, const HeldSlot &slot);
     bool isAtMostOnce() const;
     bool isInProgress(std::size_t index);
--- a/chestnutvane/request/request_flow_test.cc
+++ b/chestnutvane/request/request_flow_test.cc
@@ -349,6 +349,30 @@
     EXPECT_EQ(process.results[0].reason, Reason::Overloaded);
 }
 
+// Guards against slots and exchanges held for a caller that went away, and against "not-run" for a
+// request that a target may be running.
+TEST(RequestFlowTest, CancelGivesBackWhatItHolds)
+{
+    FakeProcess process(Repeat::Idempotent);
+    const auto flow = process.startFlow();
+    process.grant();
+    flow->cancel();
+    ASSERT_EQ(process.results.size(), 1U);
+    EXPECT_EQ(process.results[0].outcome, Outcome::Unknown);
+    EXPECT_EQ(process.results[0].reason, Reason::Cancelled);
+    ASSERT_EQ(process.cancelled.size(), 1U);
+    process.end(0, Ending::Cancelled);
+    EXPECT_TRUE(process.allReleasedOnce());
+
+    FakeProcess waiting(Repeat::Idempotent);
+    waiting.startFlow()->cancel();
+    ASSERT_EQ(waiting.results.size(), 1U);
+    EXPECT_EQ(waiting.results[0].outcome, Outcome::NotRun);
+    waiting.grant();
+    EXPECT_TRUE(waiting.sends.empty());
+    EXPECT_TRUE(waiting.allReleasedOnce());
+}
+
 void runRandomEvent(FakeProcess &process, int draw)
 {
     const auto pick = static_cast<std::size_t>(draw / 8);
--- a/testing/deployment.cc
+++ b/testing/deployment.cc
@@ -324,6 +324,7 @@
             record.mostRunning = body.value("most-running", 0);
             record.aboveSlots = body.value("above-slots", 0ULL);
             record.shed = body.value("shed", 0ULL);
+            record.cancelled = body.value("cancelled", 0ULL);
             record.lastEndMs = body.value("last-end-ms", std::int64_t{0});
             record.runsByTag = body.value("by-tag", std::map<std::string, int>{});
         }
--- a/testing/deployment.h
+++ b/testing/deployment.h
@@ -78,6 +78,7 @@
     int mostRunning = 0;
     std::uint64_t aboveSlots = 0; // dispatches when all slots were in use
     std::uint64_t shed = 0;
+    std::uint64_t cancelled = 0; // runs that ended because the sender closed the connection
     std::int64_t lastEndMs = 0; // end of the last work on the monotonic clock, 0: none
     std::map<std::string, int> runsByTag;
 };
--- a/testing/target_fault_test.cc
+++ b/testing/target_fault_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <csignal>
 #include <thread>
 
@@ -136,6 +137,39 @@
     EXPECT_FALSE(brokerOf(deployment, "south").empty());
 }
 
+// Guards against slots that stay taken by the requests of callers that went away, and against
+// dispatches above slots while cancelled work still stops.
+TEST(TargetFaultTest, RequestsOfLeavingCallersAreCancelled)
+{
+    constexpr int callers = 9; // as many as north has slots
+    FaultWorld world(73);
+    ASSERT_TRUE(world.start()) << world.problem();
+    auto &deployment = world.deployment();
+    Load views(deployment, {.query = "work-ms=40", .threads = 20});
+    std::atomic<std::uint64_t> unanswered{0};
+    std::vector<std::thread> leaving;
+    for (int i = 0; i < callers; ++i)
+        leaving.emplace_back([&] {
+            const auto answer = sendTo(deployment, deployment.callerAddress("i1"),
+                                       "/reports?work-ms=15000", {}, Milliseconds(2000));
+            unanswered += isOk(answer) ? 0 : 1; // the others are refused for lack of slots
+        });
+    for (auto &caller : leaving)
+        caller.join();
+    sleep_for(Milliseconds(3000)); // a fifth of the work that the callers left behind
+    const auto calls = views.stop();
+    std::uint64_t cancelled = 0;
+    std::uint64_t above = 0;
+    for (const auto &record : deployment.records()) {
+        cancelled += record.cancelled;
+        above += record.aboveSlots;
+    }
+    std::cout << cancelled << " cancelled, " << above << " above slots\n" << summary(calls);
+    EXPECT_GT(unanswered, 0U);
+    EXPECT_EQ(cancelled, unanswered);
+    EXPECT_EQ(above, 0U);
+}
+
 // Guards against an idempotent request that waits for its deadline on a connection that went
 // silent for good, while new connections to the same target work.
 TEST(TargetFaultTest, SilentConnectionsFailNoIdempotentRequest)
--- a/testing/target_standin.cc
+++ b/testing/target_standin.cc
@@ -120,6 +120,7 @@
                              {"most-running", mostRunning_},
                              {"above-slots", aboveSlots_},
                              {"shed", shed_},
+                             {"cancelled", cancelled_},
                              {"last-start-ms", lastStartMs_},
                              {"last-end-ms", lastEndMs_},
                              {"by-tag", byTag_}}
@@ -156,10 +157,24 @@
         }
         if (sinceStart() < options_.coldTime.count())
             work *= 3; // caches are cold
-        workers_.after(work,
-                       [this, request = std::move(request), respond = std::move(respond), tag] {
-                           end(request, respond, tag);
-                       });
+        // Set by the end of the work or by the sender's close, whichever comes first.
+        auto ended = std::make_shared<std::atomic<bool>>(false);
+        request.closeWatch->onClose([this, ended] { cancel(*ended); });
+        workers_.after(
+                work,
+                [this, request = std::move(request), respond = std::move(respond), tag, ended] {
+                    if (!ended->exchange(true))
+                        end(request, respond, tag);
+                });
+    }
+
+    void cancel(std::atomic<bool> &ended)
+    {
+        if (ended.exchange(true))
+            return;
+        const std::lock_guard lock(mutex_);
+        --running_;
+        ++cancelled_;
     }
 
     void end(const ServerRequest &request, const Responder &respond, const std::string &tag)
@@ -211,6 +226,7 @@
     std::uint64_t runs_ = 0;
     std::uint64_t aboveSlots_ = 0;
     std::uint64_t shed_ = 0;
+    std::uint64_t cancelled_ = 0; // runs that ended because the sender closed the connection
     std::int64_t lastStartMs_ = 0; // since the start of the process
     std::int64_t lastEndMs_ = 0; // on the monotonic clock, which all processes share
     std::map<std::string, int> byTag_;
