Sum up the link use of all instances

Cause: a link between regions is shared by all instances, but each compared only the bytes of its own requests with the cap. Nine instances could fill a link several times over, and answers, which are most of the bytes, were not counted.

Change: the member record carries the instance's own rates; LinkUseTable adds the reports of the others, for 5 s after they were made, and answers are counted too. The sums are made once a heartbeat period, so that look-ups do not add up 830 reports. Ruled out: dividing the cap by the number of instances, which leaves most of a link unused when few of them use it.

--- a/chestnutvane/process/caller_service.cc
+++ b/chestnutvane/process/caller_service.cc
@@ -195,7 +195,10 @@
     incoming.region = *region;
     instance_.retryBudget.use([](RetryBudget &budget) { budget.onRequest(); });
     const auto flow = RequestFlow::create(makeServices(call, std::move(retry)), std::move(incoming),
-                                          std::move(done));
+                                          [this, done = std::move(done)](FlowResult result) {
+                                              noteAnswerBytes(result);
+                                              done(std::move(result));
+                                          });
     // The result of an at-most-once request is kept for a repeat, so it runs on without its caller.
     if (call->request.closeWatch && call->requestClass.repeat != Repeat::AtMostOnce)
         call->request.closeWatch->onClose([weak = std::weak_ptr(flow)] {
@@ -292,6 +295,13 @@
                   {"reason", "granted-by-broker"}});
 }
 
+void CallerService::noteAnswerBytes(const FlowResult &result)
+{
+    const auto own = instance_.region();
+    if (result.outcome == Outcome::Ran && result.region != own)
+        steering_.onLinkBytes(result.region, own, result.body.size());
+}
+
 void CallerService::noteFallback(const Call &call, const std::string &from, const std::string &to,
                                  Reason reason)
 {
--- a/chestnutvane/process/caller_service.h
+++ b/chestnutvane/process/caller_service.h
@@ -72,6 +72,7 @@
                  std::function<bool(const RequestClass &, const AttemptHistory &, Duration)> retry);
     void conclude(const std::shared_ptr<Call> &call, const OnceResult &result);
     void noteGrant(const Call &call, const HeldSlot &slot, const std::string &region);
+    void noteAnswerBytes(const FlowResult &result);
     void noteFallback(const Call &call, const std::string &from, const std::string &to,
                       Reason reason);
     void noteRelease(const Call &call, const HeldSlot &slot, GrantResult result,
--- a/chestnutvane/process/headroom.cc
+++ b/chestnutvane/process/headroom.cc
@@ -126,10 +126,43 @@
     links_.try_emplace({from, to}, timeConstant_).first->second.add(bytes, now);
 }
 
+std::vector<LinkRate> LinkUseTable::ownRates(TimePoint now) const
+{
+    std::vector<LinkRate> rates;
+    for (const auto &[link, bytes] : links_) {
+        const double kbps = bytes.perSecond(now) * 8 / 1e3;
+        if (kbps >= 1)
+            rates.push_back({link.first, link.second, static_cast<std::uint32_t>(kbps)});
+    }
+    return rates;
+}
+
+void LinkUseTable::report(const std::string &instance, std::vector<LinkRate> rates,
+                          TimePoint madeAt)
+{
+    const auto [entry, isNew] = reports_.try_emplace(instance);
+    if (isNew || entry->second.madeAt <= madeAt)
+        entry->second = {std::move(rates), madeAt};
+}
+
+void LinkUseTable::sumReports(TimePoint now)
+{
+    std::erase_if(reports_,
+                  [now](const auto &entry) { return now - entry.second.madeAt >= reportLife; });
+    othersMbps_.clear();
+    for (const auto &[instance, report] : reports_) {
+        for (const auto &rate : report.rates)
+            othersMbps_[{rate.from, rate.to}] += rate.kbps / 1e3;
+    }
+}
+
 double LinkUseTable::mbps(const std::string &from, const std::string &to, TimePoint now) const
 {
-    const auto found = links_.find({from, to});
-    return found == links_.end() ? 0 : found->second.perSecond(now) * 8 / 1e6;
+    const Link link{from, to};
+    const auto own = links_.find(link);
+    const auto others = othersMbps_.find(link);
+    return (own == links_.end() ? 0 : own->second.perSecond(now) * 8 / 1e6)
+            + (others == othersMbps_.end() ? 0 : others->second);
 }
 
 bool LinkUseTable::fits(const std::string &from, const std::string &to, double addedMbps,
--- a/chestnutvane/process/headroom.h
+++ b/chestnutvane/process/headroom.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "chestnutvane/base/time.h"
 
@@ -106,10 +107,24 @@
     std::map<std::string, double> regionCaps_;
 };
 
-// Use of the links between regions, estimated from the bytes that instances forward.
+// What one instance sends over a link between regions in one direction.
+struct LinkRate
+{
+    std::string from;
+    std::string to;
+    std::uint32_t kbps = 0;
+
+    friend bool operator==(const LinkRate &, const LinkRate &) = default;
+};
+
+// Use of the links between regions: the bytes that this instance sends and receives, and the rates
+// that the others report. A link is shared by all instances, so one's own bytes say little.
 class LinkUseTable
 {
 public:
+    // A report counts for this long: as long as that of an instance that may only be cut off.
+    static constexpr Milliseconds reportLife{5000};
+
     explicit LinkUseTable(Milliseconds timeConstant = Milliseconds{2000})
         : timeConstant_(timeConstant)
     { }
@@ -117,7 +132,17 @@
     // Adds bytes sent over the link in one direction.
     void add(const std::string &from, const std::string &to, double bytes, TimePoint now);
 
-    // Estimated rate in Mbit/s.
+    // The rates of this instance's own bytes, without links that it does not use.
+    std::vector<LinkRate> ownRates(TimePoint now) const;
+
+    // Replaces the rates of another instance; one made earlier than the last is ignored. They count
+    // from the next sumReports().
+    void report(const std::string &instance, std::vector<LinkRate> rates, TimePoint madeAt);
+
+    // Sums up the rates of the others and drops those whose life is over.
+    void sumReports(TimePoint now);
+
+    // Estimated rate of all instances in Mbit/s.
     double mbps(const std::string &from, const std::string &to, TimePoint now) const;
 
     // Tells whether a further rate fits under the cap of a link.
@@ -125,8 +150,18 @@
               double capShare, TimePoint now) const;
 
 private:
+    using Link = std::pair<std::string, std::string>;
+
+    struct Report
+    {
+        std::vector<LinkRate> rates;
+        TimePoint madeAt;
+    };
+
     Milliseconds timeConstant_;
-    std::map<std::pair<std::string, std::string>, DecayingSum> links_;
+    std::map<Link, DecayingSum> links_;
+    std::map<std::string, Report> reports_; // by instance
+    std::map<Link, double> othersMbps_;
 };
 
 } // namespace chestnutvane
--- a/chestnutvane/process/headroom_test.cc
+++ b/chestnutvane/process/headroom_test.cc
@@ -78,5 +78,28 @@
     RC_ASSERT(!table.fits("a", "b", 1, expected + 0.9, 1, now));
 }
 
+// Guards against a link that is filled several times over, because each instance counts its own
+// bytes only: a cap of 80 Mbit/s and four instances that send 30 each.
+TEST(LinkUseTableTest, SumsWhatAllInstancesSend)
+{
+    LinkUseTable table;
+    for (int i = 0; i < 100; ++i)
+        table.add("a", "b", 30e6 / 8 / 10, start + Milliseconds{100 * i}); // 30 Mbit/s for 10 s
+    const auto now = start + Milliseconds{10'000};
+    EXPECT_TRUE(table.fits("a", "b", 1, 100, 0.8, now));
+    for (const char *peer : {"p1", "p2", "p3"})
+        table.report(peer, {{"a", "b", 30'000}}, now);
+    table.sumReports(now);
+    EXPECT_NEAR(table.mbps("a", "b", now), 120, 5);
+    EXPECT_FALSE(table.fits("a", "b", 1, 100, 0.8, now));
+    table.report("p1", {}, now - Milliseconds{1}); // relayed late
+    table.report("p2", {}, now);
+    table.sumReports(now);
+    EXPECT_NEAR(table.mbps("a", "b", now), 90, 5);
+    table.sumReports(now + LinkUseTable::reportLife);
+    EXPECT_LT(table.mbps("a", "b", now + LinkUseTable::reportLife), 30);
+    EXPECT_EQ(table.ownRates(now).size(), 1U);
+}
+
 } // namespace
 } // namespace chestnutvane
--- a/chestnutvane/process/heartbeat_codec.cc
+++ b/chestnutvane/process/heartbeat_codec.cc
@@ -50,12 +50,15 @@
         moves.push_back(
                 Json::array({move.move, move.seenStep, move.seenProgress, move.adoptedStep}));
     }
+    Json links = Json::array();
+    for (const LinkRate &rate : record.linkRates)
+        links.push_back(Json::array({rate.from, rate.to, rate.kbps}));
     return Json::array({record.id, record.incarnation, record.generation, record.sequence,
                         record.zone, record.callerAddress, record.operatorAddress,
                         record.peerAddress, enumName(memberStateNames, record.state),
                         record.revision, std::move(brokers), std::move(headroom),
                         std::move(crashes), std::move(moves), ageJson(record.storeContactAge),
-                        record.load, record.keyWindow});
+                        record.load, record.keyWindow, std::move(links)});
 }
 
 Json toJson(const MemberPulse &pulse)
@@ -148,7 +151,7 @@
 
 MemberRecord recordFromJson(const Json &json)
 {
-    ArrayReader reader(json, 17, "record");
+    ArrayReader reader(json, 18, "record");
     MemberRecord record;
     record.id = reader.text();
     record.incarnation = reader.text();
@@ -205,6 +208,13 @@
     record.storeContactAge = reader.optionalAge();
     record.load = reader.real();
     record.keyWindow = reader.number<std::uint64_t>();
+    for (const Json &entry : reader.list()) {
+        ArrayReader rate(entry, 3, "link rate");
+        auto &link = record.linkRates.emplace_back();
+        link.from = rate.text();
+        link.to = rate.text();
+        link.kbps = rate.number<std::uint32_t>();
+    }
     return record;
 }
 
--- a/chestnutvane/process/member_service.cc
+++ b/chestnutvane/process/member_service.cc
@@ -28,6 +28,15 @@
     return reports;
 }
 
+// Takes what a record says of units and links. Relayed records of this instance itself are left
+// out.
+void takeReports(MembershipState &state, const MemberRecord &record, TimePoint madeAt)
+{
+    takeHeadroomReports(state.headroom, record, madeAt);
+    if (!record.id.empty() && record.id != state.table.self().id)
+        state.links.report(record.id, record.linkRates, madeAt);
+}
+
 } // namespace
 } // namespace internal
 
@@ -76,6 +85,8 @@
         record.brokers = units;
         record.headroom = headroom;
         takeHeadroomReports(state.headroom, record, now);
+        record.linkRates = state.links.ownRates(now);
+        state.links.sumReports(now);
         record.moves = internal::moveReports(state.moves, version.get());
         record.crashCounts = crashes;
         record.revision = revision;
@@ -159,9 +170,10 @@
     brokers_.mergeCrashCounts(crashes);
     const auto result = instance_.membership.use([&](MembershipState &state) {
         state.everKnewPeer = true;
-        takeHeadroomReports(state.headroom, heartbeat.sender, Clock::now());
+        const auto heardAt = Clock::now();
+        internal::takeReports(state, heartbeat.sender, heardAt);
         for (const auto &relayed : heartbeat.relayed)
-            takeHeadroomReports(state.headroom, relayed.record, Clock::now() - relayed.age);
+            internal::takeReports(state, relayed.record, heardAt - relayed.age);
         for (const auto &move : heartbeat.sender.moves)
             state.moves.observe(move.move, {move.seenProgress, move.seenStep}, 0, Clock::now());
         return state.table.receive(heartbeat, Clock::now());
--- a/chestnutvane/process/membership.h
+++ b/chestnutvane/process/membership.h
@@ -27,6 +27,7 @@
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/base/time.h"
 #include "chestnutvane/process/crash_suspects.h"
+#include "chestnutvane/process/headroom.h"
 #include "chestnutvane/process/member_spread.h"
 
 namespace chestnutvane {
@@ -114,6 +115,7 @@
     std::vector<UnitHeadroom> headroom;
     std::vector<CrashCount> crashCounts;
     std::vector<MoveReport> moves;
+    std::vector<LinkRate> linkRates; // of this instance's own bytes
     std::optional<Milliseconds> storeContactAge; // nothing: never had contact
     double load = 0; // requests in flight over the connection limit
 
--- a/chestnutvane/process/membership_test.cc
+++ b/chestnutvane/process/membership_test.cc
@@ -26,6 +26,7 @@
     record.headroom = {{"box-office", "taipei", 3, 5, 48, 0, Milliseconds{20}}};
     record.crashCounts = {{{1, 2}, "taipei", 0x123456789abcdef0ULL, 1, 0, Milliseconds{40}}};
     record.moves = {{"south", 4, 0.25, 3}};
+    record.linkRates = {{"taipei", "taichung", 4200}};
     record.storeContactAge = Milliseconds{150};
     record.load = 0.5;
     return record;
--- a/chestnutvane/process/steering_service.h
+++ b/chestnutvane/process/steering_service.h
@@ -33,7 +33,7 @@
     // Notes a refusal of a unit's broker or target.
     void onRefused(const std::string &service, const std::string &region);
 
-    // Notes bytes that went from one region to another.
+    // Notes bytes that this instance sent or received from one region to another.
     void onLinkBytes(const std::string &from, const std::string &to, std::size_t bytes);
 
 private:
--- a/chestnutvane/request/request_flow.cc
+++ b/chestnutvane/request/request_flow.cc
@@ -284,6 +284,7 @@
                   .headers = std::move(response.headers),
                   .body = std::move(response.body),
                   .target = attempts_[index].slot.targetName,
+                  .region = regions_.back(),
                   .attempts = history_.attempts};
     }
     finish(std::move(result));
--- a/chestnutvane/request/request_flow.h
+++ b/chestnutvane/request/request_flow.h
@@ -113,6 +113,7 @@
     std::vector<HttpHeader> headers; // of the target
     std::string body;
     std::string target; // name of the target that answered
+    std::string region; // of that target
     int attempts = 0;
 };
 
