Split the rule parser into modules with one job each

Cause: rule_parser.cc had 636 lines, 546 of them one class whose functions shared all of its members, so that a new rule kind had to be read together with every other one.

Change: rule_line cuts a line into words with their places and checks its shape; rule_values reads names, numbers, paths, addresses and blocks; rule_names keeps the names that rules introduce, the references to them and the subjects; rule_kinds has one free function for each kind and the table that leads to it; rule_mistake has the mistakes. rule_parser.h includes rule_mistake.h, so no user changes. The remedy for an unknown kind is made from the table. The list of allowed keys is built only for a mistake and no longer for each line. A condition of referTo() that no word can meet is gone: an empty value never starts in column 1. One file for each kind was ruled out: nine files of 10 to 40 lines share the same six headers.

--- a/chestnutvane/version/rule_parser.h
+++ b/chestnutvane/version/rule_parser.h
@@ -9,83 +9,16 @@
 //   }
 #pragma once
 
-#include <string>
 #include <string_view>
-#include <vector>
 
-#include "chestnutvane/base/enum_names.h"
 #include "chestnutvane/base/result.h"
+#include "chestnutvane/version/rule_mistake.h"
 #include "chestnutvane/version/rule_set.h"
 
 namespace chestnutvane {
 
-enum class RuleMistakeKind {
-    MissingComment, // no "# asked by WHO" at the end of the rule
-    UnknownRule,
-    MissingName,
-    UnexpectedWord, // neither a name in its place nor key=value
-    UnknownKey,
-    DuplicateKey,
-    MissingKey,
-    BadName,
-    BadNumber, // not a number, or outside its range
-    BadValue, // not one of the allowed words
-    BadPath,
-    BadAddress,
-    BadBlock,
-    DuplicateName,
-    DuplicateRule, // another rule already decides about the same subject
-    UnknownRegion,
-    UnknownZone,
-    UnknownService,
-    UnknownTarget,
-    UnknownLink,
-    SameRegion, // both ends of a link or a move are the same region
-    TooManyChoices, // more different lists of weighted regions than a table can hold
-};
-
-inline constexpr EnumName<RuleMistakeKind> ruleMistakeKindNames[] = {
-        {RuleMistakeKind::MissingComment, "missing-comment"},
-        {RuleMistakeKind::UnknownRule, "unknown-rule"},
-        {RuleMistakeKind::MissingName, "missing-name"},
-        {RuleMistakeKind::UnexpectedWord, "unexpected-word"},
-        {RuleMistakeKind::UnknownKey, "unknown-key"},
-        {RuleMistakeKind::DuplicateKey, "duplicate-key"},
-        {RuleMistakeKind::MissingKey, "missing-key"},
-        {RuleMistakeKind::BadName, "bad-name"},
-        {RuleMistakeKind::BadNumber, "bad-number"},
-        {RuleMistakeKind::BadValue, "bad-value"},
-        {RuleMistakeKind::BadPath, "bad-path"},
-        {RuleMistakeKind::BadAddress, "bad-address"},
-        {RuleMistakeKind::BadBlock, "bad-block"},
-        {RuleMistakeKind::DuplicateName, "duplicate-name"},
-        {RuleMistakeKind::DuplicateRule, "duplicate-rule"},
-        {RuleMistakeKind::UnknownRegion, "unknown-region"},
-        {RuleMistakeKind::UnknownZone, "unknown-zone"},
-        {RuleMistakeKind::UnknownService, "unknown-service"},
-        {RuleMistakeKind::UnknownTarget, "unknown-target"},
-        {RuleMistakeKind::UnknownLink, "unknown-link"},
-        {RuleMistakeKind::SameRegion, "same-region"},
-        {RuleMistakeKind::TooManyChoices, "too-many-choices"},
-};
-
-// One mistake in a rule file. Lines and columns count from 1, columns in bytes.
-struct RuleMistake
-{
-    int line = 0;
-    int column = 0;
-    RuleMistakeKind kind = RuleMistakeKind::UnknownRule;
-    std::string message; // what is wrong
-    std::string remedy; // how to mend it
-
-    friend bool operator==(const RuleMistake &, const RuleMistake &) = default;
-};
-
 // Reads a rule file. Returns either all rules or all mistakes, sorted by place. Rules may refer to
 // names of later lines.
-Result<RuleSet, std::vector<RuleMistake>> parseRules(std::string_view text);
-
-// Writes "LINE:COLUMN: KIND: MESSAGE; REMEDY".
-std::string mistakeText(const RuleMistake &mistake);
+Result<RuleSet, RuleMistakes> parseRules(std::string_view text);
 
 } // namespace chestnutvane
