Share code that was written twice

A service added to the daemon had to be added to the test by hand.

Left as it is: decodeGrantAnswer and decodeGrantsHeld in grant_messages.cc. Their lines agree in form only: each names the fields of its own message, and the only shared steps, opening the message and returning the result, are already openCbor() and result(). A table of fields would hide which member a field is read into.

In operator_loopback_test.cc the list of services is replaced by Services; its checks are unchanged.

--- a/chestnutvane/operator/commands.cc
+++ b/chestnutvane/operator/commands.cc
@@ -112,6 +112,26 @@
     return std::move(*rules);
 }
 
+// A checked rule file and what is in force before it.
+struct Proposal
+{
+    std::string rules;
+    InForce inForce;
+};
+
+// Reads the file before it asks an instance, so that a mistake in it is told without one.
+std::variant<Proposal, CommandResult> readProposal(const Command &command,
+                                                   const CommandContext &context)
+{
+    auto rules = readRules(command, context);
+    if (auto *end = std::get_if<CommandResult>(&rules))
+        return std::move(*end);
+    auto inForce = readInForce(command, context);
+    if (auto *end = std::get_if<CommandResult>(&inForce))
+        return std::move(*end);
+    return Proposal{std::move(std::get<std::string>(rules)), std::move(std::get<InForce>(inForce))};
+}
+
 CommandResult check(const Command &command, const CommandContext &context)
 {
     auto rules = readRules(command, context);
@@ -123,14 +143,11 @@
 
 CommandResult diff(const Command &command, const CommandContext &context)
 {
-    auto rules = readRules(command, context);
-    if (auto *end = std::get_if<CommandResult>(&rules))
-        return std::move(*end);
-    auto inForce = readInForce(command, context);
-    if (auto *end = std::get_if<CommandResult>(&inForce))
+    auto proposal = readProposal(command, context);
+    if (auto *end = std::get_if<CommandResult>(&proposal))
         return std::move(*end);
-    const auto &[revision, before] = std::get<InForce>(inForce);
-    const auto &after = std::get<std::string>(rules);
+    const auto &[after, inForce] = std::get<Proposal>(proposal);
+    const auto &[revision, before] = inForce;
     json lines = json::array();
     for (const auto &line : diffLines(before, after))
         lines.push_back(
@@ -202,14 +219,11 @@
 
 CommandResult apply(const Command &command, const CommandContext &context)
 {
-    auto rules = readRules(command, context);
-    if (auto *end = std::get_if<CommandResult>(&rules))
-        return std::move(*end);
-    auto inForce = readInForce(command, context);
-    if (auto *end = std::get_if<CommandResult>(&inForce))
+    auto proposal = readProposal(command, context);
+    if (auto *end = std::get_if<CommandResult>(&proposal))
         return std::move(*end);
-    return applyRules(command, context, std::get<InForce>(inForce),
-                      std::move(std::get<std::string>(rules)), command.author);
+    auto &[rules, inForce] = std::get<Proposal>(proposal);
+    return applyRules(command, context, inForce, std::move(rules), command.author);
 }
 
 CommandResult drain(const Command &command, const CommandContext &context)
--- a/chestnutvane/operator/operator_loopback_test.cc
+++ b/chestnutvane/operator/operator_loopback_test.cc
@@ -8,7 +8,7 @@
 
 #include "chestnutvane/connection/http_server.h"
 #include "chestnutvane/operator/commands.h"
-#include "chestnutvane/process/operator_service.h"
+#include "chestnutvane/process/services.h"
 
 namespace chestnutvane {
 namespace {
@@ -78,7 +78,7 @@
                     response.abort = true;
                     cut(std::move(response));
                 };
-            operators_.handle(std::move(request), std::move(respond));
+            services_.operators.handle(std::move(request), std::move(respond));
         };
         server_ = value(HttpServer::create({.port = 0}, handler));
         address_ = "127.0.0.1:" + std::to_string(server_->port());
@@ -137,14 +137,7 @@
     OneKeyStore store_;
     Instance instance_{Settings{.instanceId = "i1", .zone = "a1"}, std::string(32, '1'),
                        holderIdOf(std::string(32, '1')), record("i1")};
-    BrokerService brokers_{instance_};
-    GrantService grants_{instance_, brokers_};
-    MemberService members_{instance_, brokers_, grants_};
-    ConfigService configuration_{instance_};
-    LookUpService lookUps_{instance_};
-    SteeringService steering_{instance_};
-    CallerService callers_{instance_, lookUps_, grants_, members_, steering_};
-    OperatorService operators_{instance_, brokers_, configuration_, lookUps_, callers_};
+    Services services_{instance_};
     std::atomic<bool> cutNextVerdict_{false};
     std::unique_ptr<HttpServer> server_;
     std::string address_;
--- a/chestnutvane/process/daemon.cc
+++ b/chestnutvane/process/daemon.cc
@@ -3,17 +3,10 @@
 #include <future>
 #include <thread>
 
-#include "chestnutvane/process/broker_service.h"
-#include "chestnutvane/process/caller_service.h"
-#include "chestnutvane/process/config_service.h"
-#include "chestnutvane/process/grant_service.h"
 #include "chestnutvane/process/http_store.h"
 #include "chestnutvane/process/instance.h"
 #include "chestnutvane/process/log.h"
-#include "chestnutvane/process/look_up_service.h"
-#include "chestnutvane/process/member_service.h"
-#include "chestnutvane/process/operator_service.h"
-#include "chestnutvane/process/steering_service.h"
+#include "chestnutvane/process/services.h"
 
 namespace chestnutvane {
 namespace internal {
@@ -58,14 +51,7 @@
     { }
 
     Instance instance;
-    BrokerService brokers{instance};
-    GrantService grants{instance, brokers};
-    MemberService members{instance, brokers, grants};
-    ConfigService configuration{instance};
-    LookUpService lookUps{instance};
-    SteeringService steering{instance};
-    CallerService callers{instance, lookUps, grants, members, steering};
-    OperatorService operators{instance, brokers, configuration, lookUps, callers};
+    Services services{instance};
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> operatorServer;
     std::unique_ptr<PeerServer> peerServer;
@@ -94,27 +80,29 @@
         return;
     }
     const auto &wish = value(message);
-    brokers.request(wish, [respond](const GrantAnswer &answer) { respond(encode(answer)); });
+    services.brokers.request(wish,
+                             [respond](const GrantAnswer &answer) { respond(encode(answer)); });
     call.state->onCancelled([this, unit = wish.unit, holder = wish.request.holder,
                              sequence = wish.request.sequence] {
-        instance.workers->post(
-                [this, unit, holder, sequence] { brokers.cancel(unit, holder, sequence); });
+        instance.workers->post([this, unit, holder, sequence] {
+            services.brokers.cancel(unit, holder, sequence);
+        });
     });
 }
 
 void Daemon::Impl::handlePeer(PeerCall call, const PeerResponder &respond)
 {
     if (call.name == "heartbeat") {
-        respond(members.onHeartbeat(call.body));
+        respond(services.members.onHeartbeat(call.body));
     } else if (call.name == "grant-request") {
         handleGrantRequest(call, respond);
     } else if (call.name == "grant-release") {
         if (const auto message = decodeGrantRelease(call.body); isOk(message))
-            brokers.release(value(message));
+            services.brokers.release(value(message));
         respond(std::string());
     } else if (call.name == "grants-held") {
         if (const auto message = decodeGrantsHeld(call.body); isOk(message))
-            brokers.heldReport(value(message));
+            services.brokers.heldReport(value(message));
         respond(std::string());
     } else if (call.name == "grants-rebuild") {
         const auto message = decodeRebuildRequest(call.body);
@@ -126,10 +114,10 @@
             return holder.answerRebuild(value(message), Clock::now());
         })));
     } else if (call.name == "config-get") {
-        respond(configuration.heldHead());
+        respond(services.configuration.heldHead());
     } else if (call.name == "forward") {
-        callers.handleForward(call.body,
-                              [respond](std::string answer) { respond(std::move(answer)); });
+        services.callers.handleForward(
+                call.body, [respond](std::string answer) { respond(std::move(answer)); });
     } else {
         respond(PeerError{PeerFailure::Refused, "unknown message"});
     }
@@ -174,26 +162,27 @@
     auto operatorServer = HttpServer::create(
             {.address = settings.address, .port = settings.operatorPort, .threads = 1},
             [raw](ServerRequest request, Responder respond) {
-                raw->operators.handle(std::move(request), std::move(respond));
+                raw->services.operators.handle(std::move(request), std::move(respond));
             });
     if (!isOk(operatorServer))
         return StartError{StartFailure::OperatorListener, error(operatorServer).detail};
     impl->operatorServer = std::move(value(operatorServer));
-    impl->members.onHigherRevision([raw](std::uint64_t) { raw->configuration.fetchFromPeers(); });
-    impl->configuration.start();
-    impl->brokers.start();
-    impl->members.start();
-    impl->steering.start();
-    impl->lookUps.start();
-    auto callerServer =
-            HttpServer::create({.address = settings.address,
-                                .port = settings.callerPort,
-                                .threads = internal::serverThreads,
-                                .maxBodyBytes = settings.maxBodyBytes,
-                                .maxConnections = settings.maxConnections},
-                               [raw](ServerRequest request, Responder respond) {
-                                   raw->callers.handle(std::move(request), std::move(respond));
-                               });
+    impl->services.members.onHigherRevision(
+            [raw](std::uint64_t) { raw->services.configuration.fetchFromPeers(); });
+    impl->services.configuration.start();
+    impl->services.brokers.start();
+    impl->services.members.start();
+    impl->services.steering.start();
+    impl->services.lookUps.start();
+    auto callerServer = HttpServer::create({.address = settings.address,
+                                            .port = settings.callerPort,
+                                            .threads = internal::serverThreads,
+                                            .maxBodyBytes = settings.maxBodyBytes,
+                                            .maxConnections = settings.maxConnections},
+                                           [raw](ServerRequest request, Responder respond) {
+                                               raw->services.callers.handle(std::move(request),
+                                                                            std::move(respond));
+                                           });
     if (!isOk(callerServer))
         return StartError{StartFailure::CallerListener, error(callerServer).detail};
     impl->callerServer = std::move(value(callerServer));
@@ -207,22 +196,22 @@
 {
     auto &instance = impl_->instance;
     logEvent(Event::Stopping, {});
-    impl_->members.beginLeaving();
+    impl_->services.members.beginLeaving();
     std::this_thread::sleep_for(instance.settings.lookUpTtl + internal::lookUpMargin);
 
     const auto rolesGivenUp = std::make_shared<std::promise<void>>();
-    impl_->brokers.giveUpAll([rolesGivenUp] { rolesGivenUp->set_value(); });
+    impl_->services.brokers.giveUpAll([rolesGivenUp] { rolesGivenUp->set_value(); });
     rolesGivenUp->get_future().wait_for(internal::storeGrace);
 
     const auto giveUpAt = Clock::now() + internal::longestDrain;
-    while (impl_->callers.inFlight() > 0 && Clock::now() < giveUpAt)
+    while (impl_->services.callers.inFlight() > 0 && Clock::now() < giveUpAt)
         std::this_thread::sleep_for(internal::drainPoll);
 
     const auto leaseEnded = std::make_shared<std::promise<void>>();
     auto ended = leaseEnded->get_future();
-    impl_->members.endLease([leaseEnded] { leaseEnded->set_value(); });
+    impl_->services.members.endLease([leaseEnded] { leaseEnded->set_value(); });
     ended.wait_for(internal::storeGrace);
-    logEvent(Event::Stopped, {{"in-flight", impl_->callers.inFlight()}});
+    logEvent(Event::Stopped, {{"in-flight", impl_->services.callers.inFlight()}});
 }
 
 } // namespace chestnutvane
--- a/chestnutvane/process/message_fields.cc
+++ b/chestnutvane/process/message_fields.cc
@@ -104,24 +104,26 @@
     out = std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(nanoseconds));
 }
 
-void FieldReader::read(const char *field, HolderId &out)
+void FieldReader::readPair(const char *field, std::uint64_t &first, std::uint64_t &second)
 {
     std::vector<std::uint64_t> parts;
     read(field, parts);
-    if (parts.size() == 2)
-        out = {parts[0], parts[1]};
-    else
+    if (parts.size() != 2) {
         fail(MessageFault::WrongType, field);
+        return;
+    }
+    first = parts[0];
+    second = parts[1];
+}
+
+void FieldReader::read(const char *field, HolderId &out)
+{
+    readPair(field, out.high, out.low);
 }
 
 void FieldReader::read(const char *field, GrantId &out)
 {
-    std::vector<std::uint64_t> parts;
-    read(field, parts);
-    if (parts.size() == 2)
-        out = {parts[0], parts[1]};
-    else
-        fail(MessageFault::WrongType, field);
+    readPair(field, out.epoch, out.number);
 }
 
 const nlohmann::json &FieldReader::array(const char *field)
--- a/chestnutvane/process/message_fields.h
+++ b/chestnutvane/process/message_fields.h
@@ -66,6 +66,9 @@
 private:
     const nlohmann::json *find(const char *field);
 
+    // Reads an array of exactly two numbers.
+    void readPair(const char *field, std::uint64_t &first, std::uint64_t &second);
+
     nlohmann::json root_;
     MessageError error_;
     bool failed_ = false;
