Cut the decisions and questions of brokers and members into steps

Cause: BrokerService::decideRoles (81 lines), BrokerService::askForReports (49) and MemberService::beat (40) took locks, decided and sent in one body, so that it was hard to see which lock covers which part.

Change: decideRoles takes a RoleView under the membership lock (viewRoles), decides about each unit under the broker lock (decideUnit, decideRole) and then applies the RoleEffects without a lock. askForReports is rebuildQuestions (broker lock), peerAddresses (membership lock), askHolder and skipDeadHolders. beat is dueHeartbeats (membership lock), sendHeartbeat and onReply. Locks are taken in the same order as before and never inside each other. Ruled out: a class of its own for the view; it has no use outside of this service.

The process tests were not run.

--- a/chestnutvane/process/broker_service.cc
+++ b/chestnutvane/process/broker_service.cc
@@ -189,52 +189,70 @@
 
 void BrokerService::askForReports()
 {
-    struct Question
-    {
-        RebuildRequest request;
-        std::vector<HolderId> holders;
-    };
-    std::vector<Question> questions;
-    state_.use([&](State &state) {
+    const auto questions = rebuildQuestions();
+    if (questions.empty())
+        return;
+    const auto addresses = peerAddresses();
+    for (const auto &question : questions) {
+        for (const auto &holder : question.holders)
+            askHolder(question.request, holder, addresses);
+        skipDeadHolders(question);
+    }
+}
+
+std::vector<BrokerService::RebuildQuestion> BrokerService::rebuildQuestions()
+{
+    return state_.use([](State &state) {
+        std::vector<RebuildQuestion> questions;
         for (const auto &[id, unit] : state.units) {
             if (unit.broker && unit.rebuilding)
                 questions.push_back({{id, unit.broker->epoch()}, unit.broker->unreported()});
         }
+        return questions;
     });
-    if (questions.empty())
-        return;
-    std::map<HolderId, std::string> addresses;
-    instance_.membership.use([&](MembershipState &state) {
+}
+
+std::map<HolderId, std::string> BrokerService::peerAddresses()
+{
+    return instance_.membership.use([](MembershipState &state) {
+        std::map<HolderId, std::string> addresses;
         for (const auto &member : state.table.members(Clock::now()))
             addresses[holderIdOf(member.record.incarnation)] = member.record.peerAddress;
+        return addresses;
     });
-    for (const auto &question : questions) {
-        for (const auto &holder : question.holders) {
-            if (holder == instance_.holderId) {
-                heldReport(instance_.grants.use([&](GrantHolder &grants) {
-                    return grants.answerRebuild(question.request, Clock::now());
-                }));
-            } else if (const auto address = addresses.find(holder); address != addresses.end()) {
-                instance_.peers->call(
-                        address->second, "grants-rebuild", encode(question.request),
-                        internal::peerTimeout, [this](Result<std::string, PeerError> reply) {
-                            if (!isOk(reply))
-                                return;
-                            if (auto held = decodeGrantsHeld(value(reply)); isOk(held))
-                                instance_.workers->post(
-                                        [this, list = value(held)] { heldReport(list); });
-                        });
-            }
-        }
-        const auto leased = state_.use([](State &state) { return state.leasedIncarnations; });
-        for (const auto &holder : question.holders) {
-            if (!leased.contains(formatIncarnation(holder.high, holder.low))
-                && holder != instance_.holderId)
-                withBroker(question.request.unit,
-                           [&](Unit &unit, TimePoint now, BrokerEffects &effects) {
-                               unit.broker->holderGone(holder, now, randomNumber(), effects);
-                           });
-        }
+}
+
+void BrokerService::askHolder(const RebuildRequest &request, const HolderId &holder,
+                              const std::map<HolderId, std::string> &addresses)
+{
+    if (holder == instance_.holderId) {
+        heldReport(instance_.grants.use(
+                [&](GrantHolder &grants) { return grants.answerRebuild(request, Clock::now()); }));
+        return;
+    }
+    const auto address = addresses.find(holder);
+    if (address == addresses.end())
+        return;
+    instance_.peers->call(address->second, "grants-rebuild", encode(request), internal::peerTimeout,
+                          [this](Result<std::string, PeerError> reply) {
+                              if (!isOk(reply))
+                                  return;
+                              if (auto held = decodeGrantsHeld(value(reply)); isOk(held))
+                                  instance_.workers->post(
+                                          [this, list = value(held)] { heldReport(list); });
+                          });
+}
+
+void BrokerService::skipDeadHolders(const RebuildQuestion &question)
+{
+    const auto leased = state_.use([](State &state) { return state.leasedIncarnations; });
+    for (const auto &holder : question.holders) {
+        if (leased.contains(formatIncarnation(holder.high, holder.low))
+            || holder == instance_.holderId)
+            continue;
+        withBroker(question.request.unit, [&](Unit &unit, TimePoint now, BrokerEffects &effects) {
+            unit.broker->holderGone(holder, now, randomNumber(), effects);
+        });
     }
 }
 
--- a/chestnutvane/process/broker_service.h
+++ b/chestnutvane/process/broker_service.h
@@ -116,6 +116,28 @@
     };
     // Answers to be given after the lock is released.
     using Answers = std::vector<std::pair<AnswerCallback, GrantAnswer>>;
+    // What a decision about the roles takes from membership, as of one moment.
+    struct RoleView
+    {
+        std::string region; // the own one
+        RoleInput input; // without the members and what concerns one unit
+        std::vector<RoleMember> members; // of the own region
+        HeardMembers heard;
+    };
+    // What is to be done after the lock is released.
+    struct RoleEffects
+    {
+        Answers answers;
+        std::vector<CompareAndSwap> writes;
+        bool holdsAny = false; // a broker runs here
+        bool opened = false; // a broker was opened
+    };
+    // The holders that a new broker has not heard from.
+    struct RebuildQuestion
+    {
+        RebuildRequest request;
+        std::vector<HolderId> holders;
+    };
 
     std::shared_ptr<const RemoteBrokers> remoteBrokers(TimePoint now);
     void watchRoles(std::optional<std::uint64_t> afterVersion);
@@ -125,9 +147,15 @@
     // Incarnations that may hold a grant of an earlier epoch of a unit of the own region.
     static std::vector<HolderId> possibleHolders(const State &state, const HeardMembers &heard);
     void decideRoles();
-    void decideRole(State &state, Unit &unit, const Version &version, const HeardMembers &heard,
-                    RoleInput input, TimePoint now, Answers &answers,
-                    std::vector<CompareAndSwap> &writes);
+    // Takes the membership lock.
+    RoleView viewRoles(const Version &version, TimePoint now);
+    // Decides about the unit of a service in the own region, if it has or had targets.
+    void decideUnit(State &state, const Version &version, const std::string &service,
+                    const RoleView &view, TimePoint now, RoleEffects &effects);
+    void decideRole(State &state, Unit &unit, const Version &version, const RoleView &view,
+                    TimePoint now, RoleEffects &effects);
+    // Whether the store has no lease key of the incarnation that the unit's record names.
+    static bool isHolderLeaseGone(const State &state, const Unit &unit);
     void writeRole(CompareAndSwap write);
     void openBroker(State &state, Unit &unit, const Version &version, const RoleDecision &decision,
                     std::span<const HolderId> holders, TimePoint now, Answers &answers);
@@ -140,6 +168,12 @@
     template <class Call>
     void withBroker(UnitId id, Call call);
     void askForReports();
+    std::vector<RebuildQuestion> rebuildQuestions(); // takes the broker lock
+    std::map<HolderId, std::string> peerAddresses(); // takes the membership lock
+    void askHolder(const RebuildRequest &request, const HolderId &holder,
+                   const std::map<HolderId, std::string> &addresses);
+    // Stops waiting for holders whose lease key is gone.
+    void skipDeadHolders(const RebuildQuestion &question);
     void tick();
     void probeTargets();
     void probeTarget(UnitId unit, const TargetRule &target);
--- a/chestnutvane/process/broker_service_roles.cc
+++ b/chestnutvane/process/broker_service_roles.cc
@@ -116,95 +116,104 @@
     return {holders.begin(), holders.end()};
 }
 
-void BrokerService::decideRoles()
+BrokerService::RoleView BrokerService::viewRoles(const Version &version, TimePoint now)
 {
-    const auto version = instance_.version();
-    if (!version)
-        return;
-    const auto now = Clock::now();
-    const auto region = regionOfZone(*version, instance_.settings.zone);
-    RoleInput input;
-    std::vector<RoleMember> members;
-    HeardMembers heard;
+    RoleView view;
+    view.region = regionOfZone(version, instance_.settings.zone);
     instance_.membership.use([&](MembershipState &state) {
-        input.selfId = instance_.settings.instanceId;
-        input.selfIncarnation = instance_.holderId;
-        input.selfLeaving = state.leaving;
-        input.storeReachable = state.store.reachable;
-        input.storeReachableSince = state.store.reachableSince;
-        input.leaseRenewalStart = state.store.renewalStart;
-        input.leaseEverHeld = state.store.leaseEverHeld;
-        input.leaseLost = state.store.leaseLost;
-        input.isolated = state.isolated;
-        input.contacts = contactView(state, now);
+        view.input = {.selfId = instance_.settings.instanceId,
+                      .selfIncarnation = instance_.holderId,
+                      .selfLeaving = state.leaving,
+                      .storeReachable = state.store.reachable,
+                      .storeReachableSince = state.store.reachableSince,
+                      .leaseRenewalStart = state.store.renewalStart,
+                      .leaseEverHeld = state.store.leaseEverHeld,
+                      .leaseLost = state.store.leaseLost,
+                      .contacts = contactView(state, now),
+                      .isolated = state.isolated};
         for (const auto &member : state.table.members(now)) {
             const bool self = member.record.id == instance_.settings.instanceId;
             const auto incarnation = holderIdOf(member.record.incarnation);
-            const bool ownRegion = regionOfZone(*version, member.record.zone) == region;
-            heard.all.insert(incarnation);
+            const bool ownRegion = regionOfZone(version, member.record.zone) == view.region;
+            view.heard.all.insert(incarnation);
             if (ownRegion || internal::isAnswering(member.status))
-                heard.holders.insert(incarnation);
+                view.heard.holders.insert(incarnation);
             if (!ownRegion)
                 continue;
-            members.push_back(
+            view.members.push_back(
                     {.instanceId = member.record.id,
                      .incarnation = incarnation,
                      .live = self || member.status == MemberStatus::Serving,
                      .leaving = self ? state.leaving : member.status == MemberStatus::Leaving});
         }
     });
-    input.members = members;
-    Answers answers;
-    std::vector<CompareAndSwap> writes;
-    bool holdsAny = false;
-    bool opened = false;
+    return view;
+}
+
+void BrokerService::decideRoles()
+{
+    const auto version = instance_.version();
+    if (!version)
+        return;
+    const auto now = Clock::now();
+    const auto view = viewRoles(*version, now);
+    RoleEffects effects;
     state_.use([&](State &state) {
-        if (state.suspectsRegion != region) {
-            state.suspectsRegion = region;
-            state.suspects = CrashSuspects(instance_.holderId, region);
-        }
-        for (const auto &service : version->rules.services) {
-            const auto id = unitIdOf(service.name, region);
-            if (!state.units.contains(id) && targetsOfUnit(*version, service.name, region).empty())
-                continue;
-            auto &unit = state.units[id];
-            unit.service = service.name;
-            unit.region = region;
-            if (state.rolesKnown) {
-                const auto entry = state.entries.find(internal::roleKey(service.name, region));
-                unit.entry = entry == state.entries.end() ? RoleEntry{} : entry->second;
-            }
-            input.holderLeaseGone = false;
-            if (unit.entry && state.leasesKnown) {
-                const auto &record = unit.entry->record;
-                const auto incarnation =
-                        formatIncarnation(record.incarnation.high, record.incarnation.low);
-                input.holderLeaseGone = !state.leasedIncarnations.contains(incarnation);
-            }
-            const bool held = unit.broker.has_value();
-            decideRole(state, unit, *version, heard, input, now, answers, writes);
-            opened |= !held && unit.broker.has_value();
-            if (unit.broker)
-                refreshTargets(state, unit, *version, now, answers);
-            holdsAny |= unit.broker.has_value();
+        if (state.suspectsRegion != view.region) {
+            state.suspectsRegion = view.region;
+            state.suspects = CrashSuspects(instance_.holderId, view.region);
         }
+        for (const auto &service : version->rules.services)
+            decideUnit(state, *version, service.name, view, now, effects);
         state.suspects.expire(now);
     });
-    if (!holdsAny)
+    if (!effects.holdsAny)
         instance_.membership.use([](MembershipState &state) { state.store.leaseLost = false; });
-    give(answers);
-    if (opened)
+    give(effects.answers);
+    if (effects.opened)
         askForReports(); // the unit grants nothing until all holders have reported
-    for (auto &write : writes)
+    for (auto &write : effects.writes)
         writeRole(std::move(write));
 }
 
+void BrokerService::decideUnit(State &state, const Version &version, const std::string &service,
+                               const RoleView &view, TimePoint now, RoleEffects &effects)
+{
+    const auto id = unitIdOf(service, view.region);
+    if (!state.units.contains(id) && targetsOfUnit(version, service, view.region).empty())
+        return;
+    auto &unit = state.units[id];
+    unit.service = service;
+    unit.region = view.region;
+    if (state.rolesKnown) {
+        const auto entry = state.entries.find(internal::roleKey(service, view.region));
+        unit.entry = entry == state.entries.end() ? RoleEntry{} : entry->second;
+    }
+    const bool held = unit.broker.has_value();
+    decideRole(state, unit, version, view, now, effects);
+    if (!unit.broker)
+        return;
+    effects.opened |= !held;
+    effects.holdsAny = true;
+    refreshTargets(state, unit, version, now, effects.answers);
+}
+
+bool BrokerService::isHolderLeaseGone(const State &state, const Unit &unit)
+{
+    if (!unit.entry || !state.leasesKnown)
+        return false;
+    const auto &holder = unit.entry->record.incarnation;
+    return !state.leasedIncarnations.contains(formatIncarnation(holder.high, holder.low));
+}
+
 void BrokerService::decideRole(State &state, Unit &unit, const Version &version,
-                               const HeardMembers &heard, RoleInput input, TimePoint now,
-                               Answers &answers, std::vector<CompareAndSwap> &writes)
+                               const RoleView &view, TimePoint now, RoleEffects &effects)
 {
+    RoleInput input = view.input;
+    input.members = view.members;
     input.unit = unitIdOf(unit.service, unit.region);
     input.entry = unit.entry;
+    input.holderLeaseGone = isHolderLeaseGone(state, unit);
     const bool isFree = unit.entry && isRoleFree(*unit.entry, input.holderLeaseGone);
     if (!isFree)
         unit.freeSince.reset();
@@ -214,18 +223,19 @@
     const auto decision = decideBrokerRole(input, now);
     if (decision.action == RoleAction::Keep) {
         if (!unit.broker)
-            openBroker(state, unit, version, decision, possibleHolders(state, heard), now, answers);
+            openBroker(state, unit, version, decision, possibleHolders(state, view.heard), now,
+                       effects.answers);
         unit.broker->setAuthority(decision.grantUntil);
         return;
     }
     if (decision.action != RoleAction::Take)
-        closeBroker(unit, answers);
+        closeBroker(unit, effects.answers);
     if (decision.action == RoleAction::None || unit.writing)
         return;
     unit.writing = true;
-    writes.push_back({.key = internal::roleKey(unit.service, unit.region),
-                      .expectedVersion = decision.expectedVersion,
-                      .value = encode(decision.record)});
+    effects.writes.push_back({.key = internal::roleKey(unit.service, unit.region),
+                              .expectedVersion = decision.expectedVersion,
+                              .value = encode(decision.record)});
 }
 
 void BrokerService::writeRole(CompareAndSwap write)
--- a/chestnutvane/process/member_service.cc
+++ b/chestnutvane/process/member_service.cc
@@ -93,43 +93,52 @@
 void MemberService::beat()
 {
     refreshSelf();
-    const auto now = Clock::now();
-    std::vector<std::pair<std::string, Heartbeat>> messages;
-    instance_.membership.use([&](MembershipState &state) {
+    for (const auto &[address, heartbeat] : dueHeartbeats(Clock::now()))
+        sendHeartbeat(address, heartbeat);
+    grants_.sendHeldLists();
+    judgeIsolation();
+    logChanges();
+}
+
+std::vector<std::pair<std::string, Heartbeat>> MemberService::dueHeartbeats(TimePoint now)
+{
+    return instance_.membership.use([&](MembershipState &state) {
         if (now - state.lastBeat > instance_.settings.heartbeat * (internal::stallPeriods + 1))
             state.stalledAt = now;
         if (state.table.isMesh() && isNoPeerFresh(contactView(state, now), {}))
             state.stalledAt = now;
         state.lastBeat = now;
+        std::vector<std::pair<std::string, Heartbeat>> messages;
         for (const auto &target : state.table.heartbeatTargets(now)) {
             if (target.peerAddress != state.table.self().peerAddress)
                 messages.emplace_back(target.peerAddress, state.table.makeHeartbeat(target, now));
         }
+        return messages;
     });
-    for (const auto &message : messages) {
-        const auto &address = message.first;
-        auto body = encodeHeartbeat(message.second);
-        instance_.metrics.increment("vane_heartbeat_bytes_total", {},
-                                    static_cast<double>(body.size()));
-        instance_.peers->call(address, "heartbeat", std::move(body), internal::heartbeatTimeout,
-                              [this, address = address](Result<std::string, PeerError> reply) {
-                                  if (!isOk(reply)) {
-                                      if (error(reply).failure == PeerFailure::Timeout)
-                                          instance_.peers->disconnect(address);
-                                      return;
-                                  }
-                                  if (auto answer = decodeHeartbeat(value(reply)); isOk(answer))
-                                      instance_.workers->post([this, content = value(answer)] {
-                                          receive(content);
-                                          instance_.membership.use([&](MembershipState &state) {
-                                              state.table.receiveReply(content, Clock::now());
-                                          });
-                                      });
-                              });
-    }
-    grants_.sendHeldLists();
-    judgeIsolation();
-    logChanges();
+}
+
+void MemberService::sendHeartbeat(const std::string &address, const Heartbeat &heartbeat)
+{
+    auto body = encodeHeartbeat(heartbeat);
+    instance_.metrics.increment("vane_heartbeat_bytes_total", {}, static_cast<double>(body.size()));
+    instance_.peers->call(address, "heartbeat", std::move(body), internal::heartbeatTimeout,
+                          [this, address](const Result<std::string, PeerError> &reply) {
+                              if (!isOk(reply)) {
+                                  if (error(reply).failure == PeerFailure::Timeout)
+                                      instance_.peers->disconnect(address);
+                                  return;
+                              }
+                              if (auto answer = decodeHeartbeat(value(reply)); isOk(answer))
+                                  instance_.workers->post(
+                                          [this, content = value(answer)] { onReply(content); });
+                          });
+}
+
+void MemberService::onReply(const Heartbeat &reply)
+{
+    receive(reply);
+    instance_.membership.use(
+            [&](MembershipState &state) { state.table.receiveReply(reply, Clock::now()); });
 }
 
 std::string MemberService::onHeartbeat(const std::string &body)
--- a/chestnutvane/process/member_service.h
+++ b/chestnutvane/process/member_service.h
@@ -12,6 +12,8 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "chestnutvane/process/broker_service.h"
 #include "chestnutvane/process/grant_service.h"
@@ -46,6 +48,10 @@
     // Decides whether this instance is isolated and logs each change; false if it is.
     bool judgeIsolation();
     void beat();
+    // The heartbeats to send now, each with its address. Takes the membership lock.
+    std::vector<std::pair<std::string, Heartbeat>> dueHeartbeats(TimePoint now);
+    void sendHeartbeat(const std::string &address, const Heartbeat &heartbeat);
+    void onReply(const Heartbeat &reply);
     void receive(const Heartbeat &heartbeat);
     void refreshSelf();
     void logChanges();
