Cut the start of daemon and HTTP server and the flow's services into steps

Change: the steps of the daemon's start are members of Daemon::Impl and run in the same order. makeServices has one function for grants and one for targets; the type of the retry rule has a name. HttpServer::create gets its settings and its request handler from two functions.

The process tests were not run.

--- a/chestnutvane/connection/http_server.cc
+++ b/chestnutvane/connection/http_server.cc
@@ -85,6 +85,51 @@
             .abort = false};
 }
 
+// Refuses a body above the limit and hands every other request on. A responder keeps the context,
+// so that it may outlive the server.
+auto requestHandler(Handler handler, std::size_t maxBodyBytes,
+                    std::weak_ptr<asio::io_context> weakContext)
+{
+    return [handler = std::move(handler), maxBodyBytes,
+            weakContext = std::move(weakContext)](const restinio::request_handle_t &request) {
+        if (request->body().size() > maxBodyBytes) {
+            sendResponse(request, bodyTooLarge());
+            return restinio::request_accepted();
+        }
+        auto context = weakContext.lock();
+        const auto peer = request->remote_endpoint();
+        auto received = toServerRequest(request);
+        const auto watch = asio::use_service<CloseWatches>(*context).add(peer);
+        received.closeWatch = watch;
+        handler(std::move(received), [context, request, peer, watch](ServerResponse response) {
+            asio::use_service<CloseWatches>(*context).remove(peer, watch);
+            sendResponse(request, std::move(response));
+        });
+        return restinio::request_accepted();
+    };
+}
+
+restinio::server_settings_t<ServerTraits> serverSettings(const HttpServerOptions &options)
+{
+    const auto readLimit = static_cast<std::uint64_t>(options.maxBodyBytes) * readFactor;
+    const auto limits = restinio::incoming_http_msg_limits_t{}
+                                .max_url_size(maxUrlBytes)
+                                .max_field_count(maxHeaderFields)
+                                .max_field_value_size(maxHeaderBytes)
+                                .max_body_size(readLimit);
+    restinio::server_settings_t<ServerTraits> settings;
+    settings.address(options.address)
+            .port(options.port)
+            .incoming_http_msg_limits(limits)
+            .max_parallel_connections(options.maxConnections)
+            .max_pipelined_requests(1)
+            .read_next_http_message_timelimit(options.readTimeout)
+            .handle_request_timeout(options.handleTimeout)
+            .write_http_response_timelimit(options.handleTimeout)
+            .separate_accept_and_create_connect(false);
+    return settings;
+}
+
 } // namespace
 } // namespace internal
 
@@ -118,44 +163,12 @@
                                                                         Handler handler)
 {
     auto impl = std::make_unique<Impl>();
-    auto onRequest = [handler = std::move(handler), options,
-                      weakContext = std::weak_ptr(impl->context)](
-                             const restinio::request_handle_t &request) {
-        if (request->body().size() > options.maxBodyBytes) {
-            internal::sendResponse(request, internal::bodyTooLarge());
-            return restinio::request_accepted();
-        }
-        auto context = weakContext.lock();
-        const auto peer = request->remote_endpoint();
-        auto received = internal::toServerRequest(request);
-        const auto watch = asio::use_service<CloseWatches>(*context).add(peer);
-        received.closeWatch = watch;
-        handler(std::move(received), [context, request, peer, watch](ServerResponse response) {
-            asio::use_service<CloseWatches>(*context).remove(peer, watch);
-            internal::sendResponse(request, std::move(response));
-        });
-        return restinio::request_accepted();
-    };
-    const auto readLimit = static_cast<std::uint64_t>(options.maxBodyBytes) * internal::readFactor;
-    auto limits = restinio::incoming_http_msg_limits_t{}
-                          .max_url_size(internal::maxUrlBytes)
-                          .max_field_count(internal::maxHeaderFields)
-                          .max_field_value_size(internal::maxHeaderBytes)
-                          .max_body_size(readLimit);
-    auto settings = restinio::server_settings_t<internal::ServerTraits>{};
-    settings.address(options.address)
-            .port(options.port)
-            .request_handler(std::move(onRequest))
+    auto settings = internal::serverSettings(options);
+    settings.request_handler(internal::requestHandler(std::move(handler), options.maxBodyBytes,
+                                                      impl->context))
             .acceptor_post_bind_hook([raw = impl.get()](asio::ip::tcp::acceptor &acceptor) {
                 raw->port = acceptor.local_endpoint().port();
-            })
-            .incoming_http_msg_limits(limits)
-            .max_parallel_connections(options.maxConnections)
-            .max_pipelined_requests(1)
-            .read_next_http_message_timelimit(options.readTimeout)
-            .handle_request_timeout(options.handleTimeout)
-            .write_http_response_timelimit(options.handleTimeout)
-            .separate_accept_and_create_connect(false);
+            });
     try {
         impl->server = std::make_unique<internal::Server>(
                 restinio::external_io_context(*impl->context), std::move(settings));
--- a/chestnutvane/process/caller_service.cc
+++ b/chestnutvane/process/caller_service.cc
@@ -168,9 +168,8 @@
             });
 }
 
-void CallerService::runFlow(
-        const std::shared_ptr<Call> &call, std::function<void(FlowResult)> done,
-        std::function<bool(const RequestClass &, const AttemptHistory &, Duration)> retry)
+void CallerService::runFlow(const std::shared_ptr<Call> &call, std::function<void(FlowResult)> done,
+                            RetryRule retry)
 {
     IncomingRequest incoming;
     incoming.number = call->number;
@@ -205,12 +204,33 @@
     flow->start();
 }
 
-RequestServices CallerService::makeServices(
-        const std::shared_ptr<Call> &call,
-        std::function<bool(const RequestClass &, const AttemptHistory &, Duration)> retry)
+RequestServices CallerService::makeServices(const std::shared_ptr<Call> &call, RetryRule retry)
 {
     RequestServices services;
     services.now = [] { return Clock::now(); };
+    services.after = [this](Duration delay, std::function<void()> task) {
+        instance_.workers->after(delay, std::move(task));
+    };
+    addGrantServices(services, call);
+    addTargetServices(services);
+    services.mayRetry = [this, call, retry = std::move(retry)](const RequestClass &requestClass,
+                                                               const AttemptHistory &history,
+                                                               Duration remaining) {
+        const bool again = retry(requestClass, history, remaining);
+        if (again) {
+            instance_.metrics.increment("vane_retries_total", {{"class", requestClass.name}});
+            logEvent(Event::RequestRetried,
+                     {{"request", call->number},
+                      {"class", requestClass.name},
+                      {"attempts", history.attempts}});
+        }
+        return again;
+    };
+    return services;
+}
+
+void CallerService::addGrantServices(RequestServices &services, const std::shared_ptr<Call> &call)
+{
     services.askGrant = [this, call](GrantWish wish, std::function<void(GrantReply)> reply) {
         const auto region = wish.region;
         if (lookUps_.hasRoomElsewhere(*call->version, call->requestClass.service, region))
@@ -237,6 +257,10 @@
         grants_.release(slot, result, serviceTime);
         noteRelease(*call, slot, result, serviceTime);
     };
+}
+
+void CallerService::addTargetServices(RequestServices &services)
+{
     services.send = [this](HttpRequest request, std::function<void(ExchangeResult)> done) {
         request.maxResponseBytes = instance_.settings.maxBodyBytes;
         return instance_.targets->send(
@@ -248,29 +272,12 @@
                 });
     };
     services.cancelExchange = [this](HttpClient::SendId id) { instance_.targets->cancel(id); };
-    services.after = [this](Duration delay, std::function<void()> task) {
-        instance_.workers->after(delay, std::move(task));
-    };
     services.probe = [this](const HeldSlot &slot, std::function<void(bool)> done) {
         probe(slot, std::move(done));
     };
     services.abandonConnections = [this](const HeldSlot &slot) {
         instance_.targets->abandonConnections(slot.targetAddress);
     };
-    services.mayRetry = [this, call, retry = std::move(retry)](const RequestClass &requestClass,
-                                                               const AttemptHistory &history,
-                                                               Duration remaining) {
-        const bool again = retry(requestClass, history, remaining);
-        if (again) {
-            instance_.metrics.increment("vane_retries_total", {{"class", requestClass.name}});
-            logEvent(Event::RequestRetried,
-                     {{"request", call->number},
-                      {"class", requestClass.name},
-                      {"attempts", history.attempts}});
-        }
-        return again;
-    };
-    return services;
 }
 
 void CallerService::noteGrant(const Call &call, const HeldSlot &slot, const std::string &region)
--- a/chestnutvane/process/caller_service.h
+++ b/chestnutvane/process/caller_service.h
@@ -57,6 +57,9 @@
         std::function<void(ForwardAnswer)> answer;
     };
 
+    // Whether a failed attempt may be followed by another within the time that remains.
+    using RetryRule = std::function<bool(const RequestClass &, const AttemptHistory &, Duration)>;
+
     void handleLookUp(const ServerRequest &request, const Responder &respond);
     void handleService(ServerRequest request, Responder respond);
     void startCall(std::shared_ptr<Call> call);
@@ -66,10 +69,12 @@
     void waitForResult(const std::shared_ptr<Call> &call, const OneTimeKey &key, OnceWaiter waiter);
     void runOnce(const std::shared_ptr<Call> &call, const OneTimeKey &key);
     void runFlow(const std::shared_ptr<Call> &call, std::function<void(FlowResult)> done,
-                 std::function<bool(const RequestClass &, const AttemptHistory &, Duration)> retry);
-    RequestServices
-    makeServices(const std::shared_ptr<Call> &call,
-                 std::function<bool(const RequestClass &, const AttemptHistory &, Duration)> retry);
+                 RetryRule retry);
+    RequestServices makeServices(const std::shared_ptr<Call> &call, RetryRule retry);
+    // Grants, their release and the region to ask after a refusal.
+    void addGrantServices(RequestServices &services, const std::shared_ptr<Call> &call);
+    // Exchanges with targets, their probes and connections.
+    void addTargetServices(RequestServices &services);
     void conclude(const std::shared_ptr<Call> &call, const OnceResult &result);
     void noteGrant(const Call &call, const HeldSlot &slot, const std::string &region);
     void noteFallback(const Call &call, const std::string &from, const std::string &to,
--- a/chestnutvane/process/daemon.cc
+++ b/chestnutvane/process/daemon.cc
@@ -1,6 +1,7 @@
 #include "chestnutvane/process/daemon.h"
 
 #include <future>
+#include <optional>
 #include <thread>
 
 #include "chestnutvane/process/http_store.h"
@@ -68,6 +69,13 @@
         instance.peers.reset();
     }
 
+    // The steps of the start, in this order: callers are taken when the services run.
+    std::optional<StartError> openClients();
+    std::optional<StartError> listenForPeers();
+    std::optional<StartError> listenForOperators();
+    void startServices();
+    std::optional<StartError> listenForCallers();
+
     void handlePeer(PeerCall call, const PeerResponder &respond);
     void handleGrantRequest(const PeerCall &call, const PeerResponder &respond);
 };
@@ -123,15 +131,9 @@
     }
 }
 
-Daemon::Daemon(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) { }
-
-Daemon::~Daemon() = default;
-
-Result<std::unique_ptr<Daemon>, StartError> Daemon::create(const Settings &settings)
+std::optional<StartError> Daemon::Impl::openClients()
 {
-    const auto incarnation = formatIncarnation(randomNumber(), randomNumber());
-    auto impl = std::make_unique<Impl>(settings, incarnation);
-    auto &instance = impl->instance;
+    const auto &settings = instance.settings;
     instance.workers = std::make_unique<Workers>(settings.workers);
     auto targets = HttpClient::create({});
     auto storeClient = HttpClient::create({});
@@ -145,47 +147,86 @@
     instance.peers = std::move(value(peers));
     instance.store = makeHttpStore({.baseUrl = settings.storeUrl}, *instance.storeClient,
                                    instance.storeCounters);
+    return std::nullopt;
+}
 
-    auto *raw = impl.get();
-    auto peerServer =
-            PeerServer::create({.address = settings.address, .port = settings.peerPort},
-                               [raw](PeerCall call, PeerResponder respond) {
-                                   // Off the link's thread, because a broker may hold its lock.
-                                   raw->instance.workers->post([raw, call = std::move(call),
-                                                                respond = std::move(respond)] {
-                                       raw->handlePeer(call, respond);
-                                   });
-                               });
-    if (!isOk(peerServer))
-        return StartError{StartFailure::PeerListener, error(peerServer).detail};
-    impl->peerServer = std::move(value(peerServer));
-    auto operatorServer = HttpServer::create(
+std::optional<StartError> Daemon::Impl::listenForPeers()
+{
+    const auto &settings = instance.settings;
+    // Messages are handled off the link's thread, because a broker may hold its lock.
+    const auto onCall = [this](PeerCall call, PeerResponder respond) {
+        instance.workers->post([this, call = std::move(call), respond = std::move(respond)] {
+            handlePeer(call, respond);
+        });
+    };
+    auto server =
+            PeerServer::create({.address = settings.address, .port = settings.peerPort}, onCall);
+    if (!isOk(server))
+        return StartError{StartFailure::PeerListener, error(server).detail};
+    peerServer = std::move(value(server));
+    return std::nullopt;
+}
+
+std::optional<StartError> Daemon::Impl::listenForOperators()
+{
+    const auto &settings = instance.settings;
+    auto server = HttpServer::create(
             {.address = settings.address, .port = settings.operatorPort, .threads = 1},
-            [raw](ServerRequest request, Responder respond) {
-                raw->services.operators.handle(std::move(request), std::move(respond));
+            [this](ServerRequest request, Responder respond) {
+                services.operators.handle(std::move(request), std::move(respond));
             });
-    if (!isOk(operatorServer))
-        return StartError{StartFailure::OperatorListener, error(operatorServer).detail};
-    impl->operatorServer = std::move(value(operatorServer));
-    impl->services.members.onHigherRevision(
-            [raw](std::uint64_t) { raw->services.configuration.fetchFromPeers(); });
-    impl->services.configuration.start();
-    impl->services.brokers.start();
-    impl->services.members.start();
-    impl->services.steering.start();
-    impl->services.lookUps.start();
-    auto callerServer = HttpServer::create({.address = settings.address,
-                                            .port = settings.callerPort,
-                                            .threads = internal::serverThreads,
-                                            .maxBodyBytes = settings.maxBodyBytes,
-                                            .maxConnections = settings.maxConnections},
-                                           [raw](ServerRequest request, Responder respond) {
-                                               raw->services.callers.handle(std::move(request),
-                                                                            std::move(respond));
-                                           });
-    if (!isOk(callerServer))
-        return StartError{StartFailure::CallerListener, error(callerServer).detail};
-    impl->callerServer = std::move(value(callerServer));
+    if (!isOk(server))
+        return StartError{StartFailure::OperatorListener, error(server).detail};
+    operatorServer = std::move(value(server));
+    return std::nullopt;
+}
+
+void Daemon::Impl::startServices()
+{
+    services.members.onHigherRevision(
+            [this](std::uint64_t) { services.configuration.fetchFromPeers(); });
+    services.configuration.start();
+    services.brokers.start();
+    services.members.start();
+    services.steering.start();
+    services.lookUps.start();
+}
+
+std::optional<StartError> Daemon::Impl::listenForCallers()
+{
+    const auto &settings = instance.settings;
+    auto server =
+            HttpServer::create({.address = settings.address,
+                                .port = settings.callerPort,
+                                .threads = internal::serverThreads,
+                                .maxBodyBytes = settings.maxBodyBytes,
+                                .maxConnections = settings.maxConnections},
+                               [this](ServerRequest request, Responder respond) {
+                                   services.callers.handle(std::move(request), std::move(respond));
+                               });
+    if (!isOk(server))
+        return StartError{StartFailure::CallerListener, error(server).detail};
+    callerServer = std::move(value(server));
+    return std::nullopt;
+}
+
+Daemon::Daemon(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) { }
+
+Daemon::~Daemon() = default;
+
+Result<std::unique_ptr<Daemon>, StartError> Daemon::create(const Settings &settings)
+{
+    const auto incarnation = formatIncarnation(randomNumber(), randomNumber());
+    auto impl = std::make_unique<Impl>(settings, incarnation);
+    if (auto failure = impl->openClients())
+        return std::move(*failure);
+    if (auto failure = impl->listenForPeers())
+        return std::move(*failure);
+    if (auto failure = impl->listenForOperators())
+        return std::move(*failure);
+    impl->startServices();
+    if (auto failure = impl->listenForCallers())
+        return std::move(*failure);
     logEvent(
             Event::Started,
             {{"zone", settings.zone}, {"address", settings.address}, {"incarnation", incarnation}});
