Cut heartbeat decoding and the membership table into steps

Cause: recordFromJson (60 lines), decodeHeartbeat (56), and in the membership table heartbeatTargets (57), accept (55) and makeHeartbeat (50) each read or decided several things in one body.

Change: one function for each struct of a heartbeat, and listFromJson for lists of them; an address and the sync id share one check of their length. accept is supersede, acceptUpdate, acceptIncarnation and startIncarnation; heartbeatTargets has forgetGone and nextUnheard; makeHeartbeat has needsRecord, addRecord and addRelayed. The nested conditions of the full record are joined into the one that needsRecord states. The table still takes time and random order as before.

The process tests were not run.

--- a/chestnutvane/process/heartbeat_codec.cc
+++ b/chestnutvane/process/heartbeat_codec.cc
@@ -146,6 +146,65 @@
     std::size_t index_ = 0;
 };
 
+// Reads each entry of a list that ArrayReader::list() has checked.
+template <class T>
+std::vector<T> listFromJson(const Json &list, T (*fromJson)(const Json &))
+{
+    std::vector<T> entries;
+    for (const Json &entry : list)
+        entries.push_back(fromJson(entry));
+    return entries;
+}
+
+HeldUnit heldUnitFromJson(const Json &json)
+{
+    ArrayReader reader(json, 3, "broker");
+    HeldUnit held;
+    held.service = reader.text();
+    held.region = reader.text();
+    held.epoch = reader.number<std::uint64_t>();
+    return held;
+}
+
+UnitHeadroom headroomFromJson(const Json &json)
+{
+    ArrayReader reader(json, 7, "headroom");
+    UnitHeadroom headroom;
+    headroom.service = reader.text();
+    headroom.region = reader.text();
+    headroom.epoch = reader.number<std::uint64_t>();
+    headroom.freeSlots = reader.number<std::uint32_t>();
+    headroom.totalSlots = reader.number<std::uint32_t>();
+    headroom.queued = reader.number<std::uint32_t>();
+    headroom.age = reader.milliseconds();
+    return headroom;
+}
+
+CrashCount crashCountFromJson(const Json &json)
+{
+    ArrayReader reader(json, 7, "crash count");
+    CrashCount count;
+    count.counter.high = reader.number<std::uint64_t>();
+    count.counter.low = reader.number<std::uint64_t>();
+    count.region = reader.text();
+    count.fingerprint = reader.number<std::uint64_t>();
+    count.crashes = reader.number<std::uint32_t>();
+    count.cleared = reader.number<std::uint32_t>();
+    count.age = reader.milliseconds();
+    return count;
+}
+
+MoveReport moveFromJson(const Json &json)
+{
+    ArrayReader reader(json, 4, "move");
+    MoveReport move;
+    move.move = reader.text();
+    move.seenStep = reader.number<std::uint64_t>();
+    move.seenProgress = reader.real();
+    move.adoptedStep = reader.number<std::uint64_t>();
+    return move;
+}
+
 MemberRecord recordFromJson(const Json &json)
 {
     ArrayReader reader(json, 17, "record");
@@ -165,43 +224,10 @@
     if (record.id.empty() || record.incarnation.empty())
         reader.fail("has an empty id or incarnation");
     record.revision = reader.number<std::uint64_t>();
-    for (const Json &entry : reader.list()) {
-        ArrayReader unit(entry, 3, "broker");
-        auto &held = record.brokers.emplace_back();
-        held.service = unit.text();
-        held.region = unit.text();
-        held.epoch = unit.number<std::uint64_t>();
-    }
-    for (const Json &entry : reader.list()) {
-        ArrayReader unit(entry, 7, "headroom");
-        auto &headroom = record.headroom.emplace_back();
-        headroom.service = unit.text();
-        headroom.region = unit.text();
-        headroom.epoch = unit.number<std::uint64_t>();
-        headroom.freeSlots = unit.number<std::uint32_t>();
-        headroom.totalSlots = unit.number<std::uint32_t>();
-        headroom.queued = unit.number<std::uint32_t>();
-        headroom.age = unit.milliseconds();
-    }
-    for (const Json &entry : reader.list()) {
-        ArrayReader fields(entry, 7, "crash count");
-        auto &count = record.crashCounts.emplace_back();
-        count.counter.high = fields.number<std::uint64_t>();
-        count.counter.low = fields.number<std::uint64_t>();
-        count.region = fields.text();
-        count.fingerprint = fields.number<std::uint64_t>();
-        count.crashes = fields.number<std::uint32_t>();
-        count.cleared = fields.number<std::uint32_t>();
-        count.age = fields.milliseconds();
-    }
-    for (const Json &entry : reader.list()) {
-        ArrayReader report(entry, 4, "move");
-        auto &move = record.moves.emplace_back();
-        move.move = report.text();
-        move.seenStep = report.number<std::uint64_t>();
-        move.seenProgress = report.real();
-        move.adoptedStep = report.number<std::uint64_t>();
-    }
+    record.brokers = listFromJson(reader.list(), heldUnitFromJson);
+    record.headroom = listFromJson(reader.list(), headroomFromJson);
+    record.crashCounts = listFromJson(reader.list(), crashCountFromJson);
+    record.moves = listFromJson(reader.list(), moveFromJson);
     record.storeContactAge = reader.optionalAge();
     record.load = reader.real();
     record.keyWindow = reader.number<std::uint64_t>();
@@ -258,6 +284,59 @@
     int depth_ = 0;
 };
 
+RelayedRecord relayedFromJson(const Json &json)
+{
+    ArrayReader reader(json, 2, "relayed");
+    RelayedRecord relayed;
+    relayed.record = recordFromJson(reader.next());
+    relayed.age = reader.milliseconds();
+    return relayed;
+}
+
+MemberEvent eventFromJson(const Json &json)
+{
+    ArrayReader reader(json, 4, "event");
+    MemberEvent event;
+    event.key = reader.number<std::uint64_t>();
+    event.sequence = reader.number<std::uint64_t>();
+    event.verdict = reader.enumerator(MemberVerdict::Silent);
+    event.revision = reader.number<std::uint64_t>();
+    return event;
+}
+
+bool isShortString(const Json &json)
+{
+    return json.is_string() && json.get_ref<const std::string &>().size() <= maxStringBytes;
+}
+
+// Throws FieldError.
+Heartbeat heartbeatFromJson(const Json &json)
+{
+    ArrayReader reader(json, 6, "heartbeat");
+    Heartbeat heartbeat;
+    if (const Json &sender = reader.next(); sender.is_array() && sender.size() == pulseFields)
+        heartbeat.pulse = pulseFromJson(sender);
+    else
+        heartbeat.sender = recordFromJson(sender);
+    heartbeat.relayed = listFromJson(reader.list(), relayedFromJson);
+    for (const Json &entry : reader.list()) {
+        if (!isShortString(entry))
+            reader.fail("has an address that is not a short string");
+        heartbeat.knownAddresses.push_back(entry.get<std::string>());
+    }
+    heartbeat.events = listFromJson(reader.list(), eventFromJson);
+    const Json &wantsRecord = reader.next();
+    if (!wantsRecord.is_boolean())
+        reader.fail("has a flag that is not a boolean");
+    heartbeat.wantsRecord = wantsRecord.get<bool>();
+    const Json &syncAfter = reader.next();
+    if (isShortString(syncAfter))
+        heartbeat.syncAfter = syncAfter.get<std::string>();
+    else if (!syncAfter.is_null())
+        reader.fail("has an id that is not a short string");
+    return heartbeat;
+}
+
 } // namespace
 
 std::string encodeHeartbeat(const Heartbeat &heartbeat)
@@ -294,42 +373,7 @@
     if (json.is_discarded())
         return HeartbeatError{HeartbeatFailure::NotCbor, "not a complete CBOR item"};
     try {
-        ArrayReader reader(json, 6, "heartbeat");
-        Heartbeat heartbeat;
-        if (const Json &sender = reader.next(); sender.is_array() && sender.size() == pulseFields)
-            heartbeat.pulse = pulseFromJson(sender);
-        else
-            heartbeat.sender = recordFromJson(sender);
-        for (const Json &entry : reader.list()) {
-            ArrayReader relayed(entry, 2, "relayed");
-            auto &record = heartbeat.relayed.emplace_back();
-            record.record = recordFromJson(relayed.next());
-            record.age = relayed.milliseconds();
-        }
-        for (const Json &entry : reader.list()) {
-            if (!entry.is_string() || entry.get_ref<const std::string &>().size() > maxStringBytes)
-                reader.fail("has an address that is not a short string");
-            heartbeat.knownAddresses.push_back(entry.get<std::string>());
-        }
-        for (const Json &entry : reader.list()) {
-            ArrayReader fields(entry, 4, "event");
-            auto &event = heartbeat.events.emplace_back();
-            event.key = fields.number<std::uint64_t>();
-            event.sequence = fields.number<std::uint64_t>();
-            event.verdict = fields.enumerator(MemberVerdict::Silent);
-            event.revision = fields.number<std::uint64_t>();
-        }
-        const Json &wantsRecord = reader.next();
-        if (!wantsRecord.is_boolean())
-            reader.fail("has a flag that is not a boolean");
-        heartbeat.wantsRecord = wantsRecord.get<bool>();
-        const Json &syncAfter = reader.next();
-        if (syncAfter.is_string()
-            && syncAfter.get_ref<const std::string &>().size() <= maxStringBytes)
-            heartbeat.syncAfter = syncAfter.get<std::string>();
-        else if (!syncAfter.is_null())
-            reader.fail("has an id that is not a short string");
-        return heartbeat;
+        return heartbeatFromJson(json);
     } catch (const FieldError &error) {
         return HeartbeatError{HeartbeatFailure::BadField, error.detail};
     } catch (const Json::exception &error) {
--- a/chestnutvane/process/membership.cc
+++ b/chestnutvane/process/membership.cc
@@ -89,53 +89,70 @@
     platformSeeds_ = std::move(peerAddresses);
 }
 
+void MembershipTable::supersede(const MemberRecord &record, ReceiveResult &result)
+{
+    if (record.incarnation == self_.incarnation || record.generation < self_.generation)
+        return;
+    self_.generation = record.generation + 1;
+    recordSequence_ = ++self_.sequence;
+    result.ownGenerationRaised = true;
+}
+
+bool MembershipTable::acceptUpdate(Known &known, const MemberRecord &record)
+{
+    if (record.sequence <= known.record.sequence)
+        return false;
+    const MemberState state = known.record.state;
+    const std::uint64_t revision = known.record.revision;
+    known.record = record;
+    if (state == MemberState::Leaving || record.sequence < known.liveSequence)
+        known.record.state = state;
+    known.record.revision = std::max(revision, record.revision);
+    return true;
+}
+
+bool MembershipTable::acceptIncarnation(Known &known, const MemberRecord &record, bool direct)
+{
+    if (std::tie(record.generation, record.incarnation)
+        < std::tie(known.record.generation, known.record.incarnation)) {
+        known.hasRival = known.hasRival || direct;
+        return false;
+    }
+    known.record = record;
+    known.markedGone = false;
+    known.hasRival = false;
+    return true;
+}
+
+void MembershipTable::startIncarnation(Known &known)
+{
+    idOfKey_.erase(known.key);
+    known.key = memberKey(known.record.id, known.record.incarnation);
+    idOfKey_[known.key] = known.record.id;
+    known.liveSequence = 0;
+    known.silentAt.reset();
+    sentSequence_.erase(known.record.id);
+}
+
 bool MembershipTable::accept(const MemberRecord &record, TimePoint heardAt, bool direct,
                              ReceiveResult &result)
 {
     if (record.id == self_.id) {
-        // A peer remembers an earlier process with this id, which this one must supersede.
-        if (record.incarnation != self_.incarnation && record.generation >= self_.generation) {
-            self_.generation = record.generation + 1;
-            recordSequence_ = ++self_.sequence;
-            result.ownGenerationRaised = true;
-        }
+        supersede(record, result);
         return false;
     }
     const auto [entry, isNewId] = known_.try_emplace(record.id);
     Known &known = entry->second;
     const bool isSame = !isNewId && known.record.incarnation == record.incarnation;
     const bool isNews = !isSame || differs(known.record, record) || !record.headroom.empty();
-    if (isNewId) {
-        known.record = record;
-    } else if (isSame) {
-        if (record.sequence <= known.record.sequence)
-            return false;
-        const MemberState state = known.record.state;
-        const std::uint64_t revision = known.record.revision;
-        known.record = record;
-        if (state == MemberState::Leaving || record.sequence < known.liveSequence)
-            known.record.state = state;
-        known.record.revision = std::max(revision, record.revision);
-    } else {
-        if (std::tie(record.generation, record.incarnation)
-            < std::tie(known.record.generation, known.record.incarnation)) {
-            known.hasRival = known.hasRival || direct;
-            return false;
-        }
+    if (isNewId)
         known.record = record;
-        known.markedGone = false;
-        known.hasRival = false;
-    }
+    else if (isSame ? !acceptUpdate(known, record) : !acceptIncarnation(known, record, direct))
+        return false;
     known.heardAt = isSame ? std::max(known.heardAt, heardAt) : heardAt;
     known.direct = direct;
-    if (!isSame) {
-        idOfKey_.erase(known.key);
-        known.key = memberKey(record.id, record.incarnation);
-        idOfKey_[known.key] = record.id;
-        known.liveSequence = 0;
-        known.silentAt.reset();
-        sentSequence_.erase(record.id);
-    }
+    if (!isSame)
+        startIncarnation(known);
     if (record.sequence > known.liveSequence) {
         known.liveSequence = record.sequence;
         known.silentAt.reset();
@@ -243,7 +260,7 @@
     return members;
 }
 
-std::vector<HeartbeatTarget> MembershipTable::heartbeatTargets(TimePoint now)
+void MembershipTable::forgetGone(TimePoint now)
 {
     std::erase_if(known_, [&](const auto &entry) {
         const auto &[id, known] = entry;
@@ -254,6 +271,11 @@
             idOfKey_.erase(known.key);
         return forget;
     });
+}
+
+std::vector<HeartbeatTarget> MembershipTable::heartbeatTargets(TimePoint now)
+{
+    forgetGone(now);
     setMesh(now);
     if (now - recordAt_ >= (mesh_ ? options_.meshRefresh : options_.ringRefresh)) {
         recordAt_ = now;
@@ -281,9 +303,13 @@
     targets.reserve(ids.size() + options_.maxUnheardPerPeriod);
     for (const std::string &id : ids)
         targets.push_back({id, known_.at(id).record.peerAddress});
+    for (std::string &address : nextUnheard(std::move(heard)))
+        targets.push_back({{}, std::move(address)});
+    return targets;
+}
 
-    // A gone member's address is contacted again while a seed list names it: a cut-off that ends
-    // must be noticed by both sides.
+std::vector<std::string> MembershipTable::nextUnheard(std::vector<std::string> heard)
+{
     std::sort(heard.begin(), heard.end());
     std::vector<std::string> unheard;
     const auto addUnheard = [&](const auto &addresses) {
@@ -297,51 +323,59 @@
     addUnheard(learned_);
     std::sort(unheard.begin(), unheard.end());
     unheard.erase(std::unique(unheard.begin(), unheard.end()), unheard.end());
-    for (std::string &address : rotate(unheard, options_.maxUnheardPerPeriod, unheardRotation_))
-        targets.push_back({{}, std::move(address)});
-    return targets;
+    return rotate(unheard, options_.maxUnheardPerPeriod, unheardRotation_);
+}
+
+bool MembershipTable::needsRecord(const std::string &id) const
+{
+    if (id.empty())
+        return true;
+    const auto sent = sentSequence_.find(id);
+    const bool isRing = sendUntil_.contains(id);
+    // A random member has the record from others, or asks for it.
+    return (mesh_ || isRing) && (sent == sentSequence_.end() || sent->second < recordSequence_);
+}
+
+void MembershipTable::addRecord(const std::string &targetId, TimePoint now, Heartbeat &heartbeat)
+{
+    heartbeat.sender = self_;
+    sentSequence_[targetId] = self_.sequence;
+    std::vector<std::string> addresses;
+    for (const auto &[id, known] : known_) {
+        if (id != targetId && statusAt(known, now) != MemberStatus::Gone)
+            addresses.push_back(known.record.peerAddress);
+    }
+    heartbeat.knownAddresses = rotate(addresses, options_.maxKnownAddresses, addressRotation_);
+}
+
+void MembershipTable::addRelayed(const std::string &id, TimePoint now, Heartbeat &heartbeat) const
+{
+    if (id == self_.id) {
+        heartbeat.relayed.push_back({self_, Milliseconds{0}});
+    } else if (const auto known = known_.find(id); known != known_.end()) {
+        // Rounded up, so that passing a record on many times never makes it younger.
+        heartbeat.relayed.push_back({known->second.record,
+                                     std::chrono::ceil<Milliseconds>(now - known->second.heardAt)});
+    }
 }
 
 Heartbeat MembershipTable::makeHeartbeat(const HeartbeatTarget &target, TimePoint now)
 {
     Heartbeat heartbeat;
-    const auto sent = sentSequence_.find(target.id);
-    const bool isRing = sendUntil_.contains(target.id);
-    const bool lacksRecord = target.id.empty() || sent == sentSequence_.end()
-            || ((mesh_ || isRing) && sent->second < recordSequence_);
-    // A random member has the record from others, or asks for it.
-    if (lacksRecord && (mesh_ || isRing || target.id.empty())) {
-        heartbeat.sender = self_;
-        sentSequence_[target.id] = self_.sequence;
-        std::vector<std::string> addresses;
-        for (const auto &[id, known] : known_) {
-            if (id != target.id && statusAt(known, now) != MemberStatus::Gone)
-                addresses.push_back(known.record.peerAddress);
-        }
-        heartbeat.knownAddresses = rotate(addresses, options_.maxKnownAddresses, addressRotation_);
-    } else {
+    if (needsRecord(target.id))
+        addRecord(target.id, now, heartbeat);
+    else
         heartbeat.pulse = MemberPulse{self_.id,       memberKey(self_.id, self_.incarnation),
                                       self_.sequence, self_.state,
                                       self_.revision, self_.storeContactAge,
                                       liveCount(now)};
-    }
-    const auto relay = [&](const std::string &id) {
-        if (id == self_.id) {
-            heartbeat.relayed.push_back({self_, Milliseconds{0}});
-        } else if (const auto known = known_.find(id); known != known_.end()) {
-            // Rounded up, so that passing a record on many times never makes it younger.
-            heartbeat.relayed.push_back(
-                    {known->second.record,
-                     std::chrono::ceil<Milliseconds>(now - known->second.heardAt)});
-        }
-    };
     heartbeat.wantsRecord = wantedFrom_.contains(target.id);
     if (!mesh_)
         heartbeat.events = events_.next(options_.maxEvents, newsSends);
     if (!target.id.empty() && target.id == randomTarget_) {
         if (!mesh_) {
             for (const std::string &id : relays_.next(options_.maxRelayed, newsSends / 2))
-                relay(id);
+                addRelayed(id, now, heartbeat);
         }
         if (syncing_)
             heartbeat.syncAfter = syncAfter_;
@@ -349,7 +383,7 @@
     // A process whose record was refused learns which generation it has to supersede.
     for (const auto &[id, known] : known_) {
         if (known.hasRival && (target.id == id || target.id.empty()))
-            relay(id);
+            addRelayed(id, now, heartbeat);
     }
     return heartbeat;
 }
--- a/chestnutvane/process/membership.h
+++ b/chestnutvane/process/membership.h
@@ -297,10 +297,28 @@
     MemberStatus statusAt(const Known &known, TimePoint now) const;
     void learn(const std::string &address);
     bool accept(const MemberRecord &record, TimePoint heardAt, bool direct, ReceiveResult &result);
+    // A peer remembers an earlier process with the own id; raises the own generation above it.
+    void supersede(const MemberRecord &record, ReceiveResult &result);
+    // Takes a newer record of the incarnation that is known; false if it is not newer.
+    static bool acceptUpdate(Known &known, const MemberRecord &record);
+    // Takes a record of another incarnation; false if the known one supersedes it.
+    static bool acceptIncarnation(Known &known, const MemberRecord &record, bool direct);
+    // Drops what was known of the incarnation before.
+    void startIncarnation(Known &known);
     bool acceptPulse(const MemberPulse &pulse, TimePoint now);
     void acceptEvent(const MemberEvent &event, TimePoint now);
     void announce(const Known &known);
     void setMesh(TimePoint now);
+    void forgetGone(TimePoint now);
+    // Addresses to contact in this period at which no member is heard. A gone member's address is
+    // contacted again while a seed list names it: a cut-off that ends must be noticed by both
+    // sides.
+    std::vector<std::string> nextUnheard(std::vector<std::string> heard);
+    // Whether a target lacks the newest version of the own record and gets it from here.
+    bool needsRecord(const std::string &id) const;
+    // Adds the own record and addresses of other members.
+    void addRecord(const std::string &targetId, TimePoint now, Heartbeat &heartbeat);
+    void addRelayed(const std::string &id, TimePoint now, Heartbeat &heartbeat) const;
     void watch(TimePoint now);
     std::vector<std::string> nextRandom(std::size_t count, TimePoint now);
     std::size_t liveCount(TimePoint now) const;
