--- a/chestnutvane/process/daemon.cc
+++ b/chestnutvane/process/daemon.cc
@@ -1,19 +1,13 @@
 #include "chestnutvane/process/daemon.h"
 
 #include <future>
+#include <optional>
 #include <thread>
 
-#include "chestnutvane/process/broker_service.h"
-#include "chestnutvane/process/caller_service.h"
-#include "chestnutvane/process/config_service.h"
-#include "chestnutvane/process/grant_service.h"
 #include "chestnutvane/process/http_store.h"
 #include "chestnutvane/process/instance.h"
 #include "chestnutvane/process/log.h"
-#include "chestnutvane/process/look_up_service.h"
-#include "chestnutvane/process/member_service.h"
-#include "chestnutvane/process/operator_service.h"
-#include "chestnutvane/process/steering_service.h"
+#include "chestnutvane/process/services.h"
 
 namespace chestnutvane {
 namespace internal {
@@ -58,14 +52,7 @@
     { }
 
     Instance instance;
-    BrokerService brokers{instance};
-    GrantService grants{instance, brokers};
-    MemberService members{instance, brokers, grants};
-    ConfigService configuration{instance};
-    LookUpService lookUps{instance};
-    SteeringService steering{instance};
-    CallerService callers{instance, lookUps, grants, members, steering};
-    OperatorService operators{instance, brokers, configuration, lookUps, callers};
+    Services services{instance};
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> operatorServer;
     std::unique_ptr<PeerServer> peerServer;
@@ -82,6 +69,13 @@
         instance.peers.reset();
     }
 
+    // The steps of the start, in this order: callers are taken when the services run.
+    std::optional<StartError> openClients();
+    std::optional<StartError> listenForPeers();
+    std::optional<StartError> listenForOperators();
+    void startServices();
+    std::optional<StartError> listenForCallers();
+
     void handlePeer(PeerCall call, const PeerResponder &respond);
     void handleGrantRequest(const PeerCall &call, const PeerResponder &respond);
 };
@@ -94,27 +88,29 @@
         return;
     }
     const auto &wish = value(message);
-    brokers.request(wish, [respond](const GrantAnswer &answer) { respond(encode(answer)); });
+    services.brokers.request(wish,
+                             [respond](const GrantAnswer &answer) { respond(encode(answer)); });
     call.state->onCancelled([this, unit = wish.unit, holder = wish.request.holder,
                              sequence = wish.request.sequence] {
-        instance.workers->post(
-                [this, unit, holder, sequence] { brokers.cancel(unit, holder, sequence); });
+        instance.workers->post([this, unit, holder, sequence] {
+            services.brokers.cancel(unit, holder, sequence);
+        });
     });
 }
 
 void Daemon::Impl::handlePeer(PeerCall call, const PeerResponder &respond)
 {
     if (call.name == "heartbeat") {
-        respond(members.onHeartbeat(call.body));
+        respond(services.members.onHeartbeat(call.body));
     } else if (call.name == "grant-request") {
         handleGrantRequest(call, respond);
     } else if (call.name == "grant-release") {
         if (const auto message = decodeGrantRelease(call.body); isOk(message))
-            brokers.release(value(message));
+            services.brokers.release(value(message));
         respond(std::string());
     } else if (call.name == "grants-held") {
         if (const auto message = decodeGrantsHeld(call.body); isOk(message))
-            brokers.heldReport(value(message));
+            services.brokers.heldReport(value(message));
         respond(std::string());
     } else if (call.name == "grants-rebuild") {
         const auto message = decodeRebuildRequest(call.body);
@@ -126,24 +122,18 @@
             return holder.answerRebuild(value(message), Clock::now());
         })));
     } else if (call.name == "config-get") {
-        respond(configuration.heldHead());
+        respond(services.configuration.heldHead());
     } else if (call.name == "forward") {
-        callers.handleForward(call.body,
-                              [respond](std::string answer) { respond(std::move(answer)); });
+        services.callers.handleForward(
+                call.body, [respond](std::string answer) { respond(std::move(answer)); });
     } else {
         respond(PeerError{PeerFailure::Refused, "unknown message"});
     }
 }
 
-Daemon::Daemon(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) { }
-
-Daemon::~Daemon() = default;
-
-Result<std::unique_ptr<Daemon>, StartError> Daemon::create(const Settings &settings)
+std::optional<StartError> Daemon::Impl::openClients()
 {
-    const auto incarnation = formatIncarnation(randomNumber(), randomNumber());
-    auto impl = std::make_unique<Impl>(settings, incarnation);
-    auto &instance = impl->instance;
+    const auto &settings = instance.settings;
     instance.workers = std::make_unique<Workers>(settings.workers);
     auto targets = HttpClient::create({});
     auto storeClient = HttpClient::create({});
@@ -157,46 +147,86 @@
     instance.peers = std::move(value(peers));
     instance.store = makeHttpStore({.baseUrl = settings.storeUrl}, *instance.storeClient,
                                    instance.storeCounters);
+    return std::nullopt;
+}
 
-    auto *raw = impl.get();
-    auto peerServer =
-            PeerServer::create({.address = settings.address, .port = settings.peerPort},
-                               [raw](PeerCall call, PeerResponder respond) {
-                                   // Off the link's thread, because a broker may hold its lock.
-                                   raw->instance.workers->post([raw, call = std::move(call),
-                                                                respond = std::move(respond)] {
-                                       raw->handlePeer(call, respond);
-                                   });
-                               });
-    if (!isOk(peerServer))
-        return StartError{StartFailure::PeerListener, error(peerServer).detail};
-    impl->peerServer = std::move(value(peerServer));
-    auto operatorServer = HttpServer::create(
+std::optional<StartError> Daemon::Impl::listenForPeers()
+{
+    const auto &settings = instance.settings;
+    // Messages are handled off the link's thread, because a broker may hold its lock.
+    const auto onCall = [this](PeerCall call, PeerResponder respond) {
+        instance.workers->post([this, call = std::move(call), respond = std::move(respond)] {
+            handlePeer(call, respond);
+        });
+    };
+    auto server =
+            PeerServer::create({.address = settings.address, .port = settings.peerPort}, onCall);
+    if (!isOk(server))
+        return StartError{StartFailure::PeerListener, error(server).detail};
+    peerServer = std::move(value(server));
+    return std::nullopt;
+}
+
+std::optional<StartError> Daemon::Impl::listenForOperators()
+{
+    const auto &settings = instance.settings;
+    auto server = HttpServer::create(
             {.address = settings.address, .port = settings.operatorPort, .threads = 1},
-            [raw](ServerRequest request, Responder respond) {
-                raw->operators.handle(std::move(request), std::move(respond));
+            [this](ServerRequest request, Responder respond) {
+                services.operators.handle(std::move(request), std::move(respond));
             });
-    if (!isOk(operatorServer))
-        return StartError{StartFailure::OperatorListener, error(operatorServer).detail};
-    impl->operatorServer = std::move(value(operatorServer));
-    impl->members.onHigherRevision([raw](std::uint64_t) { raw->configuration.fetchFromPeers(); });
-    impl->configuration.start();
-    impl->brokers.start();
-    impl->members.start();
-    impl->steering.start();
-    impl->lookUps.start();
-    auto callerServer =
+    if (!isOk(server))
+        return StartError{StartFailure::OperatorListener, error(server).detail};
+    operatorServer = std::move(value(server));
+    return std::nullopt;
+}
+
+void Daemon::Impl::startServices()
+{
+    services.members.onHigherRevision(
+            [this](std::uint64_t) { services.configuration.fetchFromPeers(); });
+    services.configuration.start();
+    services.brokers.start();
+    services.members.start();
+    services.steering.start();
+    services.lookUps.start();
+}
+
+std::optional<StartError> Daemon::Impl::listenForCallers()
+{
+    const auto &settings = instance.settings;
+    auto server =
             HttpServer::create({.address = settings.address,
                                 .port = settings.callerPort,
                                 .threads = internal::serverThreads,
                                 .maxBodyBytes = settings.maxBodyBytes,
                                 .maxConnections = settings.maxConnections},
-                               [raw](ServerRequest request, Responder respond) {
-                                   raw->callers.handle(std::move(request), std::move(respond));
+                               [this](ServerRequest request, Responder respond) {
+                                   services.callers.handle(std::move(request), std::move(respond));
                                });
-    if (!isOk(callerServer))
-        return StartError{StartFailure::CallerListener, error(callerServer).detail};
-    impl->callerServer = std::move(value(callerServer));
+    if (!isOk(server))
+        return StartError{StartFailure::CallerListener, error(server).detail};
+    callerServer = std::move(value(server));
+    return std::nullopt;
+}
+
+Daemon::Daemon(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) { }
+
+Daemon::~Daemon() = default;
+
+Result<std::unique_ptr<Daemon>, StartError> Daemon::create(const Settings &settings)
+{
+    const auto incarnation = formatIncarnation(randomNumber(), randomNumber());
+    auto impl = std::make_unique<Impl>(settings, incarnation);
+    if (auto failure = impl->openClients())
+        return std::move(*failure);
+    if (auto failure = impl->listenForPeers())
+        return std::move(*failure);
+    if (auto failure = impl->listenForOperators())
+        return std::move(*failure);
+    impl->startServices();
+    if (auto failure = impl->listenForCallers())
+        return std::move(*failure);
     logEvent(
             Event::Started,
             {{"zone", settings.zone}, {"address", settings.address}, {"incarnation", incarnation}});
@@ -207,22 +237,22 @@
 {
     auto &instance = impl_->instance;
     logEvent(Event::Stopping, {});
-    impl_->members.beginLeaving();
+    impl_->services.members.beginLeaving();
     std::this_thread::sleep_for(instance.settings.lookUpTtl + internal::lookUpMargin);
 
     const auto rolesGivenUp = std::make_shared<std::promise<void>>();
-    impl_->brokers.giveUpAll([rolesGivenUp] { rolesGivenUp->set_value(); });
+    impl_->services.brokers.giveUpAll([rolesGivenUp] { rolesGivenUp->set_value(); });
     rolesGivenUp->get_future().wait_for(internal::storeGrace);
 
     const auto giveUpAt = Clock::now() + internal::longestDrain;
-    while (impl_->callers.inFlight() > 0 && Clock::now() < giveUpAt)
+    while (impl_->services.callers.inFlight() > 0 && Clock::now() < giveUpAt)
         std::this_thread::sleep_for(internal::drainPoll);
 
     const auto leaseEnded = std::make_shared<std::promise<void>>();
     auto ended = leaseEnded->get_future();
-    impl_->members.endLease([leaseEnded] { leaseEnded->set_value(); });
+    impl_->services.members.endLease([leaseEnded] { leaseEnded->set_value(); });
     ended.wait_for(internal::storeGrace);
-    logEvent(Event::Stopped, {{"in-flight", impl_->callers.inFlight()}});
+    logEvent(Event::Stopped, {{"in-flight", impl_->services.callers.inFlight()}});
 }
 
 } // namespace chestnutvane
