Test the failure of a whole region with real processes

Cause: no test killed all instances and targets of a region together; docs/proof.md listed the failure as not proved.

Change: RegionFaultTest.OtherRegionServesAfterAWholeRegionFails kills both instances and the three targets of north under load of six callers. The bound is 1.5 s of silence and the 2 s time-to-live of look-up answers; runs come from the logs of the targets, which outlive them.

--- a/testing/fault_load.cc
+++ b/testing/fault_load.cc
@@ -94,6 +94,14 @@
     return runs;
 }
 
+int FaultWorld::countRepeatedRuns(std::string_view prefix) const
+{
+    const auto runs = runsByTag();
+    return static_cast<int>(std::count_if(runs.begin(), runs.end(), [prefix](const auto &entry) {
+        return entry.first.starts_with(prefix) && entry.second > 1;
+    }));
+}
+
 struct Load::Caller
 {
     std::mt19937_64 random;
@@ -247,6 +255,27 @@
     return text;
 }
 
+std::size_t countFailed(const std::vector<CallRecord> &calls)
+{
+    return static_cast<std::size_t>(
+            std::count_if(calls.begin(), calls.end(), [](const CallRecord &call) {
+                return call.outcome != "ran" || call.status != 200 || call.crossed;
+            }));
+}
+
+std::vector<CallRecord> startedSince(const std::vector<CallRecord> &calls, TimePoint time)
+{
+    std::vector<CallRecord> result;
+    std::copy_if(calls.begin(), calls.end(), std::back_inserter(result),
+                 [time](const CallRecord &call) { return call.startedAt >= time; });
+    return result;
+}
+
+std::int64_t monotonicMs(TimePoint time)
+{
+    return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch()).count();
+}
+
 std::string brokerOf(Deployment &deployment, const std::string &region)
 {
     for (const auto &instance : deployment.instances()) {
--- a/testing/fault_load.h
+++ b/testing/fault_load.h
@@ -49,6 +49,8 @@
     std::vector<TargetLine> targetLines() const;
     // Returns how often each tag ran.
     std::map<std::string, int> runsByTag() const;
+    // Returns how many requests ran more than once, of those whose tags begin with a prefix.
+    int countRepeatedRuns(std::string_view prefix) const;
 
 private:
     int network_;
@@ -124,6 +126,15 @@
 // Sums up calls by outcome, reason and status, for the message of a failed check.
 std::string summary(const std::vector<CallRecord> &calls);
 
+// Returns how many calls did not end with a whole answer of status 200 that says ran.
+std::size_t countFailed(const std::vector<CallRecord> &calls);
+
+// Returns the calls that started at a time or later.
+std::vector<CallRecord> startedSince(const std::vector<CallRecord> &calls, TimePoint time);
+
+// Returns a time in the unit and with the origin of TargetLine::atMs.
+std::int64_t monotonicMs(TimePoint time);
+
 // Returns the instance that has the broker of a region, or nothing.
 std::string brokerOf(Deployment &deployment, const std::string &region);
 
--- a/testing/region_fault_test.cc
+++ b/testing/region_fault_test.cc
@@ -11,6 +11,24 @@
 
 using std::this_thread::sleep_for;
 
+// After this time without a region no caller uses it: a silent instance is left out of look-up
+// answers after 1.5 s, and an answer may be used for its time-to-live of 2 s.
+constexpr Milliseconds regionLossTime{3500};
+
+constexpr const char *northProcesses[] = {"i1", "i2", "t-1", "t-2", "t-3"};
+
+bool isNorth(const TargetLine &line)
+{
+    return line.target < "t-4";
+}
+
+std::ptrdiff_t countNorthRunsSince(const std::vector<TargetLine> &lines, TimePoint time)
+{
+    return std::count_if(lines.begin(), lines.end(), [&](const TargetLine &line) {
+        return isNorth(line) && line.atMs >= monotonicMs(time);
+    });
+}
+
 // Guards against callers that are refused while the broker of their region is gone or counts the
 // slots of its dead predecessor, although the other region could carry them. A caller sends again
 // through other instances; with one region able to carry all, no view may end unserved.
@@ -41,5 +59,62 @@
     EXPECT_FALSE(brokerOf(deployment, "north").empty()) << "no takeover";
 }
 
+// Guards against callers of a failed region that the other region does not serve, against a second
+// run of their at-most-once requests there, and against a region that stays unused when it is back.
+TEST(RegionFaultTest, OtherRegionServesAfterAWholeRegionFails)
+{
+    FaultWorld world(80);
+    ASSERT_TRUE(world.start()) << world.problem();
+    auto &deployment = world.deployment();
+    // At most 6 requests are in flight; south has 9 slots.
+    Load views(deployment, {.maxSends = 4, .threads = 3, .prefix = "v"});
+    Load orders(deployment,
+                {.path = "/orders",
+                 .query = "work-ms=20",
+                 .atMostOnce = true,
+                 .maxSends = 4,
+                 .threads = 3,
+                 .prefix = "o"});
+    sleep_for(Milliseconds(1500));
+    const auto killedAt = Clock::now();
+    for (const auto *name : northProcesses)
+        ASSERT_TRUE(deployment.sendSignal(name, SIGKILL)) << name;
+    sleep_for(regionLossTime + Milliseconds(2500));
+    for (const auto *name : northProcesses) {
+        ASSERT_EQ(deployment.waitForExit(name, Milliseconds(1000)), 128 + SIGKILL) << name;
+        ASSERT_TRUE(deployment.start(name)) << name;
+    }
+    const auto startedAt = Clock::now();
+    const bool serving = deployment.waitUntilServing(Milliseconds(20'000));
+    const auto servingAt = Clock::now();
+    sleep_for(Milliseconds(2000)); // the time-to-live of look-up answers
+    const auto viewCalls = views.stop();
+    const auto orderCalls = orders.stop();
+
+    const auto viewsAfter = startedSince(viewCalls, killedAt + regionLossTime);
+    const auto ordersAfter = startedSince(orderCalls, killedAt + regionLossTime);
+    const auto runs = world.runsByTag();
+    const auto wrongNotRun =
+            std::count_if(orderCalls.begin(), orderCalls.end(), [&](const CallRecord &call) {
+                return call.outcome == "not-run" && runs.contains(call.tag);
+            });
+    const auto lines = world.targetLines();
+    const auto northRuns = countNorthRunsSince(lines, servingAt);
+    std::cout << viewsAfter.size() << " views 3.5 s after the loss, " << countFailed(viewsAfter)
+              << " not served; " << ordersAfter.size() << " orders, " << countFailed(ordersAfter)
+              << " not served; " << world.countRepeatedRuns("o-") << " orders ran twice; serving "
+              << monotonicMs(servingAt) - monotonicMs(startedAt) << " ms after the start, "
+              << northRuns << " runs in north since\nall views:\n"
+              << summary(viewCalls) << "all orders:\n"
+              << summary(orderCalls);
+    EXPECT_GT(countNorthRunsSince(lines, TimePoint()), northRuns) << "north had no work";
+    EXPECT_GT(viewsAfter.size(), 100U) << "the load did not run";
+    EXPECT_EQ(countFailed(viewsAfter), 0U);
+    EXPECT_EQ(world.countRepeatedRuns("o-"), 0);
+    EXPECT_EQ(wrongNotRun, 0);
+    EXPECT_TRUE(serving) << deployment.describeWait();
+    EXPECT_GT(northRuns, 0) << "north does not serve again";
+}
+
 } // namespace
 } // namespace chestnutvane
--- a/testing/target_fault_test.cc
+++ b/testing/target_fault_test.cc
@@ -12,14 +12,6 @@
 using nlohmann::json;
 using std::this_thread::sleep_for;
 
-std::size_t countFailed(const std::vector<CallRecord> &calls)
-{
-    return static_cast<std::size_t>(
-            std::count_if(calls.begin(), calls.end(), [](const CallRecord &call) {
-                return call.outcome != "ran" || call.status != 200 || call.crossed;
-            }));
-}
-
 std::ptrdiff_t countRanSince(const std::vector<CallRecord> &calls, TimePoint since)
 {
     return std::count_if(calls.begin(), calls.end(), [since](const CallRecord &call) {
@@ -148,6 +140,7 @@
     Load views(deployment, {.query = "work-ms=40", .threads = 20});
     std::atomic<std::uint64_t> unanswered{0};
     std::vector<std::thread> leaving;
+    leaving.reserve(callers);
     for (int i = 0; i < callers; ++i)
         leaving.emplace_back([&] {
             const auto answer = sendTo(deployment, deployment.callerAddress("i1"),
