Test the drain of a whole region under load

Cause: docs/proof.md left the drain of a whole region open; the deployment runner drains one zone.

Change: RegionFaultTest.DrainOfARegionFailsNoRequest drains north by a rule while views, orders and reports of 4 s run. No request may fail, none may begin in north 3 s after the change was sent (the strictest reading of the bound: acceptance is later). The reports are on their targets when the drain begins, so that a drain that cuts work fails the test; the test checks that.

--- a/testing/region_fault_test.cc
+++ b/testing/region_fault_test.cc
@@ -116,5 +116,60 @@
     EXPECT_GT(northRuns, 0) << "north does not serve again";
 }
 
+// Guards against a planned drain of a whole region that cuts or refuses requests, or that leaves
+// work on its targets. South carries the load alone; half of the callers belong to north.
+TEST(RegionFaultTest, DrainOfARegionFailsNoRequest)
+{
+    constexpr Milliseconds drainLimit{3000}; // from section 2 of the design page
+    FaultWorld world(81);
+    ASSERT_TRUE(world.start()) << world.problem();
+    auto &deployment = world.deployment();
+    Load views(deployment, {.query = "work-ms=30", .threads = 3, .prefix = "v"});
+    Load orders(deployment,
+                {.path = "/orders",
+                 .query = "work-ms=30",
+                 .atMostOnce = true,
+                 .threads = 2,
+                 .prefix = "o"});
+    // Work that is on its targets when the drain begins, longer than the drain limit.
+    Load reports(deployment,
+                 {.path = "/reports",
+                  .query = "work-ms=4000",
+                  .sendTimeout = Milliseconds(21'000),
+                  .threads = 4,
+                  .prefix = "r"});
+    sleep_for(Milliseconds(1500));
+    const auto drainedAt = Clock::now();
+    const auto answer =
+            deployment.apply(deployment.rulesText() + "drain region=north # asked by Ada\n", "i2");
+    ASSERT_EQ(answer.outcome, "accepted") << answer.reason;
+    std::this_thread::sleep_until(drainedAt + drainLimit + Milliseconds(4000));
+    const auto viewCalls = views.stop();
+    const auto orderCalls = orders.stop();
+    const auto reportCalls = reports.stop();
+
+    const auto lines = world.targetLines();
+    const auto northRuns = countNorthRunsSince(lines, TimePoint());
+    const auto late = countNorthRunsSince(lines, drainedAt + drainLimit);
+    std::int64_t lastEndMs = 0;
+    for (const auto &record : deployment.records())
+        lastEndMs = std::max(lastEndMs, record.name < "t-4" ? record.lastEndMs : 0);
+    std::int64_t lastStartMs = 0;
+    for (const auto &line : lines)
+        lastStartMs = std::max(lastStartMs, isNorth(line) ? line.atMs : 0);
+    std::cout << viewCalls.size() << " views, " << orderCalls.size() << " orders, "
+              << reportCalls.size() << " reports; last work in north began "
+              << lastStartMs - monotonicMs(drainedAt) << " ms after the drain, drain time "
+              << lastEndMs - monotonicMs(drainedAt) << " ms\n";
+    EXPECT_EQ(countFailed(viewCalls), 0U) << summary(viewCalls);
+    EXPECT_EQ(countFailed(orderCalls), 0U) << summary(orderCalls);
+    EXPECT_EQ(countFailed(reportCalls), 0U) << summary(reportCalls);
+    EXPECT_GT(viewCalls.size() + orderCalls.size(), 500U) << "the load did not run";
+    EXPECT_GT(northRuns, 50) << "north had no work before the drain";
+    EXPECT_GT(lastEndMs, monotonicMs(drainedAt + Milliseconds(1000)))
+            << "no report was on its target when the drain began";
+    EXPECT_EQ(late, 0);
+}
+
 } // namespace
 } // namespace chestnutvane
