Keep granting while every store call takes too long

Cause: a new test with a store whose calls take 3 s, above their time limit of 2 s, had all requests refused as overloaded 10 s after its watches were sent. A watch that was sent before the store became slow ends at its own wait of 10 s with an answer. The answer counted as store contact of each instance; lease renewals timed out, so the contacts were younger than the end of the leases, and each broker took its role for lost (peer-reached-store) until the store would be fast again.

Change: an answered watch whose prefix still holds the same keys and versions is no contact. A role is taken over only on the news that a lease key is gone, so an answer without news cannot lead to a takeover; news, all other reads and all writes count as before. Ruled out: a longer time limit of renewals, because the age of a renewal of 3 s passes 4 s between two of them while peers have contact. ServiceFaultTest.SlowStoreDelaysChangesOnly: requests with calls of 1 s and of 3 s, and a change under calls of 1 s, which is measured from its sending, before its acceptance.

Not solved: while all calls take above 2 s, news of a prefix still stops brokers with lapsed leases.

--- a/chestnutvane/process/instance.cc
+++ b/chestnutvane/process/instance.cc
@@ -1,10 +1,23 @@
 #include "chestnutvane/process/instance.h"
 
 #include <charconv>
+#include <utility>
 
+#include "chestnutvane/base/hash.h"
 #include "chestnutvane/process/log.h"
 
 namespace chestnutvane {
+namespace {
+
+std::uint64_t digestOf(const std::vector<StoreEntry> &entries)
+{
+    std::string text;
+    for (const auto &entry : entries)
+        text += entry.key + '=' + std::to_string(entry.version) + '\n';
+    return hash64(text);
+}
+
+} // namespace
 
 Instance::Instance(Settings chosen, std::string ownIncarnation, HolderId holder, MemberRecord self)
     : settings(std::move(chosen)), incarnation(std::move(ownIncarnation)), holderId(holder),
@@ -26,8 +39,17 @@
                           std::function<void(Result<WatchResult, StoreError>)> callback)
 {
     constexpr Milliseconds longestWait{10'000};
-    auto noted = [this, callback = std::move(callback)](Result<WatchResult, StoreError> result) {
-        noteStoreCall(isStoreAnswer(result), Clock::now());
+    auto noted = [this, prefix, isFirst = !afterVersion,
+                  callback = std::move(callback)](Result<WatchResult, StoreError> result) {
+        bool hasNews = true;
+        if (isOk(result)) {
+            const auto digest = digestOf(value(result).entries);
+            hasNews = membership.use([&](MembershipState &state) {
+                const auto former = std::exchange(state.store.watched[prefix], digest);
+                return former != digest;
+            }) || isFirst;
+        }
+        noteStoreCall(isStoreAnswer(result), Clock::now(), hasNews);
         callback(std::move(result));
     };
     if (!afterVersion)
@@ -36,7 +58,7 @@
         store.watch(prefix, *afterVersion, longestWait, std::move(noted));
 }
 
-void Instance::noteStoreCall(bool answered, TimePoint now)
+void Instance::noteStoreCall(bool answered, TimePoint now, bool hasNews)
 {
     metrics.increment("vane_store_calls_total", {{"answered", answered ? "yes" : "no"}});
     const bool lost = membership.use([&](MembershipState &state) {
@@ -45,7 +67,7 @@
         if (answered && !contact.reachable)
             contact.reachableSince = now;
         contact.reachable = answered;
-        if (answered)
+        if (answered && hasNews)
             contact.lastAnswer = now;
         return wasReachable && !answered;
     });
--- a/chestnutvane/process/instance.h
+++ b/chestnutvane/process/instance.h
@@ -46,7 +46,9 @@
 // Contacts with the store and the own lease there.
 struct StoreContact
 {
-    std::optional<TimePoint> lastAnswer; // end of the last answered call
+    std::optional<TimePoint> lastAnswer; // end of the last answered call, see noteStoreCall()
+    // Digests of the keys and versions that each watched prefix last held.
+    std::map<std::string, std::uint64_t> watched;
     bool reachable = false; // the last call was answered
     TimePoint reachableSince; // end of the last outage
     std::uint64_t leaseId = 0; // 0: none
@@ -119,8 +121,10 @@
     void watchStore(const std::string &prefix, std::optional<std::uint64_t> afterVersion,
                     std::function<void(Result<WatchResult, StoreError>)> callback);
 
-    // Notes the end of a store call. "answered" is false if the store could not be reached.
-    void noteStoreCall(bool answered, TimePoint now);
+    // Notes the end of a store call. "answered" is false if the store could not be reached. Without
+    // news the answer is no contact: it tells nothing that a role could be taken over for, and a
+    // watch that was sent in time may end long after the store became too slow for other calls.
+    void noteStoreCall(bool answered, TimePoint now, bool hasNews = true);
 };
 
 // Reads an incarnation as a number; zero if the text is none.
--- a/chestnutvane/process/isolation.h
+++ b/chestnutvane/process/isolation.h
@@ -47,7 +47,8 @@
 
 struct ContactView
 {
-    std::optional<Duration> storeContactAge; // since the end of the last answered store call
+    // Since the end of the last answered store call, without watches that ended without news.
+    std::optional<Duration> storeContactAge;
     bool everKnewPeer = false; // since the start, also peers that are gone
     std::vector<PeerContact> peers;
     // Since the last moment at which this process noticed a pause of its own of more than two
