Test a target that says itself that it is leaving

Cause: the rule had a decision test only; nothing showed that a health answer of a running target reaches its broker within the bound and leaves the work on it alone.

Change: ServiceFaultTest.TargetThatSaysItLeavesGetsNoNewWork switches one target to leaving under load and reads the targets' logs and records. The load starts before the reports, because a target in cold start with one slot runs nothing else beside a report.

--- a/testing/service_fault_test.cc
+++ b/testing/service_fault_test.cc
@@ -73,5 +73,73 @@
     EXPECT_GT(viewCalls.size() + orderCalls.size(), 500U) << "the load did not run";
 }
 
+// Guards against new work on a target that says itself that it is leaving, and against a stop of
+// work that cuts what runs there.
+TEST(ServiceFaultTest, TargetThatSaysItLeavesGetsNoNewWork)
+{
+    constexpr Milliseconds limit{3000}; // from section 2 of the design page
+    FaultWorld world(83);
+    ASSERT_TRUE(world.start()) << world.problem();
+    auto &deployment = world.deployment();
+    Load views(deployment, {.query = "work-ms=50", .threads = 5, .prefix = "v"});
+    Load orders(deployment,
+                {.path = "/orders",
+                 .query = "work-ms=50",
+                 .atMostOnce = true,
+                 .threads = 3,
+                 .prefix = "o"});
+    sleep_for(Milliseconds(2000)); // the targets' cold start: one slot more per 500 ms with success
+    // Work that is on the target when it begins to leave.
+    Load reports(deployment,
+                 {.path = "/reports",
+                  .query = "work-ms=4000",
+                  .sendTimeout = Milliseconds(21'000),
+                  .threads = 6,
+                  .prefix = "r"});
+    sleep_for(Milliseconds(500));
+    std::string leaving; // a target that runs a report
+    for (const auto &line : world.targetLines())
+        leaving = line.tag.starts_with("r-") ? line.target : leaving;
+    ASSERT_FALSE(leaving.empty()) << "no report is running";
+    const auto leavingAt = Clock::now();
+    ASSERT_TRUE(deployment.control(leaving, {{"leaving", true}}));
+    std::this_thread::sleep_until(leavingAt + limit + Milliseconds(3000));
+    const auto viewCalls = views.stop();
+    const auto orderCalls = orders.stop();
+    const auto reportCalls = reports.stop();
+
+    int before = 0;
+    int late = 0;
+    int others = 0;
+    std::int64_t lastStartMs = 0;
+    for (const auto &line : world.targetLines()) {
+        const bool isLate = line.atMs > monotonicMs(leavingAt + limit);
+        if (line.target != leaving) {
+            others += isLate ? 1 : 0;
+            continue;
+        }
+        before += line.atMs < monotonicMs(leavingAt) ? 1 : 0;
+        late += isLate ? 1 : 0;
+        lastStartMs = std::max(lastStartMs, line.atMs);
+    }
+    const auto records = deployment.records();
+    const auto record = *std::find_if(records.begin(), records.end(),
+                                      [&](const auto &found) { return found.name == leaving; });
+    std::cout << before << " runs on " << leaving << " before, last work began "
+              << lastStartMs - monotonicMs(leavingAt) << " ms after it said that it leaves, "
+              << record.cancelled << " cancelled, last work ended "
+              << record.lastEndMs - monotonicMs(leavingAt) << " ms after; " << viewCalls.size()
+              << " views, " << orderCalls.size() << " orders, " << reportCalls.size()
+              << " reports\n";
+    EXPECT_GT(before, 20) << "the target had no work";
+    EXPECT_EQ(late, 0);
+    EXPECT_GT(others, 100);
+    EXPECT_EQ(record.cancelled, 0U);
+    EXPECT_GT(record.lastEndMs, lastStartMs + 1000) << "no report was on the target";
+    EXPECT_EQ(countFailed(viewCalls), 0U) << summary(viewCalls);
+    EXPECT_EQ(countFailed(orderCalls), 0U) << summary(orderCalls);
+    EXPECT_EQ(countFailed(reportCalls), 0U) << summary(reportCalls);
+}
+
 } // namespace
 } // namespace chestnutvane
