--- a/testing/fault_load.cc
+++ b/testing/fault_load.cc
@@ -137,13 +137,19 @@
     Caller caller;
     caller.random.seed(static_cast<std::uint64_t>(thread) + 1);
     caller.client = fmt::format("10.{}.{}.1", thread, thread * 37 % 256);
+    auto next = Clock::now() + options_.period * thread / options_.threads;
     for (int number = 0; !stopping_; ++number) {
+        if (options_.period.count() > 0) {
+            std::this_thread::sleep_until(next);
+            next += options_.period;
+        }
         auto record = call(caller, fmt::format("{}-{}-{}", options_.prefix, thread, number));
         {
             const std::lock_guard lock(mutex_);
             calls_.push_back(std::move(record));
         }
-        std::this_thread::sleep_for(options_.pause);
+        if (options_.period.count() == 0)
+            std::this_thread::sleep_for(options_.pause);
     }
 }
 
--- a/testing/fault_load.h
+++ b/testing/fault_load.h
@@ -68,6 +68,9 @@
     Milliseconds sendTimeout{4000}; // after which a send counts as unanswered
     int threads = 6;
     Milliseconds pause{5}; // between two requests of a thread
+    // Above 0: from the start of one request of a thread to the start of the next, in place of the
+    // pause, so that slow answers do not thin out the load. Threads are spread over the period.
+    Milliseconds period{0};
     std::string prefix = "q"; // of the tags
 };
 
