Refuse at once what cannot wait for the slots of a dead holder

Change: while a dead holder is waited for, the estimate uses the slots that are known, and without any a request that cannot wait to the end of its grants is refused at once. Tried and reverted: a queue limit of 0 for requests of another region, so that they delay nobody there.

The new test of slot_broker_test fails without the change.

--- a/chestnutvane/process/broker_rebuild.cc
+++ b/chestnutvane/process/broker_rebuild.cc
@@ -1,5 +1,7 @@
 #include "chestnutvane/process/broker_rebuild.h"
 
+#include <algorithm>
+
 namespace chestnutvane {
 
 void BrokerRebuild::start(std::span<const HolderId> holders)
@@ -28,6 +30,14 @@
                   [&](const Awaited &it) { return it.grantsEndAt && now >= *it.grantsEndAt; });
 }
 
+TimePoint BrokerRebuild::endsNotBefore() const
+{
+    TimePoint end = TimePoint::min();
+    for (const Awaited &awaited : awaited_)
+        end = std::max(end, awaited.grantsEndAt.value_or(TimePoint::min()));
+    return end;
+}
+
 std::vector<HolderId> BrokerRebuild::unreported() const
 {
     std::vector<HolderId> holders;
--- a/chestnutvane/process/broker_rebuild.h
+++ b/chestnutvane/process/broker_rebuild.h
@@ -28,6 +28,10 @@
 
     [[nodiscard]] bool active() const { return !awaited_.empty(); }
 
+    // The time before which the rebuild does not end, because of dead holders; min() if there are
+    // none.
+    [[nodiscard]] TimePoint endsNotBefore() const;
+
     // The holders that are awaited and not known to be dead.
     [[nodiscard]] std::vector<HolderId> unreported() const;
 
--- a/chestnutvane/process/slot_broker_state.cc
+++ b/chestnutvane/process/slot_broker_state.cc
@@ -53,6 +53,14 @@
     return index;
 }
 
+int SlotBroker::State::knownTotal() const
+{
+    int total = 0;
+    for (const TargetSlots &target : targets)
+        total += std::max(0, effectiveSlots(target) - target.unknown);
+    return total;
+}
+
 int SlotBroker::State::effectiveTotal() const
 {
     int total = 0;
@@ -193,15 +201,24 @@
 {
     const QueuedRequest &queued = queue.at(index);
     const int level = RequestQueue::levelOf(queued.request);
-    const int slots = effectiveTotal();
+    int slots = effectiveTotal();
     if (!rebuild.active() && slots == 0) {
         refuse(index, Reason::NoTarget, effects);
         return;
     }
-    // The rebuild usually ends within a round trip, so its time is not estimated.
-    if (rebuild.active())
-        return;
     const Duration limit = std::min(queued.request.queueLimit, queued.endsAt - now);
+    if (rebuild.active()) {
+        // It usually ends within a round trip, so its time is not estimated. But the slots that a
+        // dead holder may use stay taken until its grants have ended.
+        const TimePoint end = rebuild.endsNotBefore();
+        if (end == TimePoint::min() || end - now <= limit)
+            return;
+        slots = knownTotal();
+        if (slots == 0) {
+            refuse(index, Reason::Overloaded, effects);
+            return;
+        }
+    }
     if (estimatedWait(level, queue.sizeUpTo(level), slots) > limit) {
         refuse(index, Reason::Overloaded, effects);
         return;
--- a/chestnutvane/process/slot_broker_state.h
+++ b/chestnutvane/process/slot_broker_state.h
@@ -62,6 +62,7 @@
     [[nodiscard]] std::size_t findTarget(TargetId id) const; // targets.size() if there is none
     std::size_t findOrAddTarget(TargetId id);
     [[nodiscard]] int effectiveTotal() const;
+    [[nodiscard]] int knownTotal() const; // without slots that an unheard holder may use
     [[nodiscard]] bool isGone(const HolderId &holder) const;
 
     // The wait of the last of the first `ahead` requests at least as important as the level.
--- a/chestnutvane/process/slot_broker_test.cc
+++ b/chestnutvane/process/slot_broker_test.cc
@@ -230,5 +230,36 @@
     EXPECT_FALSE(broker.status().rebuilding);
 }
 
+// Guards against requests that wait for slots of a dead holder until their limit and only then go
+// to a region that could have served them at once.
+TEST(SlotBrokerRebuildTest, RequestThatCannotWaitForDeadHolderIsRefusedAtOnce)
+{
+    BrokerEffects effects;
+    const TimePoint now;
+    const HolderId dead{1, 9};
+    SlotBroker broker(2, BrokerSettings{.longestGrant = Milliseconds(3000), .warmStart = true});
+    broker.setAuthority(TimePoint::max());
+    const std::vector<BrokerTarget> targets{{1, 2, false, false}};
+    broker.setTargets(targets, now, 0, effects);
+    broker.startRebuild(std::vector<HolderId>{dead}, now, 0, effects);
+    GrantRequest request{.holder = holderA,
+                         .sequence = 1,
+                         .queueLimit = Milliseconds(500),
+                         .remaining = Milliseconds(9000),
+                         .tried = {}};
+    broker.request(request, SuspectVerdict::Clear, now, 0, effects);
+    EXPECT_TRUE(effects.empty()) << "the holder may yet report";
+    broker.holderGone(dead, now, 0, effects);
+    request.sequence = 2;
+    broker.request(request, SuspectVerdict::Clear, now, 0, effects);
+    ASSERT_EQ(effects.size(), 1U);
+    EXPECT_EQ(std::get<RefusalEffect>(effects[0]).reason, Reason::Overloaded);
+    effects.clear();
+    request.sequence = 3;
+    request.queueLimit = Milliseconds(4000);
+    broker.request(request, SuspectVerdict::Clear, now, 0, effects);
+    EXPECT_TRUE(effects.empty()) << "the grants of the dead holder end within its limit";
+}
+
 } // namespace
 } // namespace chestnutvane
