Inject faults into runs of a whole deployment

deployment_runner showed a deployment without faults only, and no p99.9.

The exit status keeps its meaning. Keeping the restart besides the fault was ruled out: a restart that meets the fault is a second fault.

The class table has p99.9. The world of slot_fault_model has a name of its own now; FaultWorld is also a class of the failure tests.

--- a/chestnutvane/process/fault_broker_policy.cc
+++ b/chestnutvane/process/fault_broker_policy.cc
@@ -23,7 +23,7 @@
 class BrokerPolicy : public FaultPolicy
 {
 public:
-    explicit BrokerPolicy(FaultWorld &world)
+    explicit BrokerPolicy(FaultModelWorld &world)
         : world_(world), settings_(world.settings()), units_(world.settings().regions),
           asked_(world.requests.size())
     {
@@ -110,7 +110,7 @@
 
     void deliver(int region, const BrokerEffect &effect);
 
-    FaultWorld &world_;
+    FaultModelWorld &world_;
     const FaultModelSettings settings_;
     std::vector<Unit> units_; // by region
     std::vector<GrantHolder> holders_; // by instance
@@ -382,7 +382,7 @@
 
 } // namespace
 
-std::unique_ptr<FaultPolicy> makeBrokerPolicy(FaultWorld &world)
+std::unique_ptr<FaultPolicy> makeBrokerPolicy(FaultModelWorld &world)
 {
     return std::make_unique<BrokerPolicy>(world);
 }
--- a/chestnutvane/process/fault_naive_policies.cc
+++ b/chestnutvane/process/fault_naive_policies.cc
@@ -8,7 +8,7 @@
 class OneQueuePolicy : public FaultPolicy
 {
 public:
-    explicit OneQueuePolicy(FaultWorld &world)
+    explicit OneQueuePolicy(FaultModelWorld &world)
         : world_(world), queues_(static_cast<std::size_t>(world.settings().regions))
     { }
 
@@ -46,14 +46,15 @@
         }
     }
 
-    FaultWorld &world_;
+    FaultModelWorld &world_;
     std::vector<std::deque<std::size_t>> queues_; // by region
 };
 
 class LeastReportedPolicy : public FaultPolicy
 {
 public:
-    explicit LeastReportedPolicy(FaultWorld &world) : world_(world), reports_(world.targets.size())
+    explicit LeastReportedPolicy(FaultModelWorld &world)
+        : world_(world), reports_(world.targets.size())
     { }
 
     void arrive(std::size_t request) override { choose(request); }
@@ -93,18 +94,18 @@
             world_.refuse(index);
     }
 
-    FaultWorld &world_;
+    FaultModelWorld &world_;
     std::vector<FaultReport> reports_; // the last one of each target
 };
 
 } // namespace
 
-std::unique_ptr<FaultPolicy> makeOneQueuePolicy(FaultWorld &world)
+std::unique_ptr<FaultPolicy> makeOneQueuePolicy(FaultModelWorld &world)
 {
     return std::make_unique<OneQueuePolicy>(world);
 }
 
-std::unique_ptr<FaultPolicy> makeLeastReportedPolicy(FaultWorld &world)
+std::unique_ptr<FaultPolicy> makeLeastReportedPolicy(FaultModelWorld &world)
 {
     return std::make_unique<LeastReportedPolicy>(world);
 }
--- a/chestnutvane/process/fault_world.cc
+++ b/chestnutvane/process/fault_world.cc
@@ -14,7 +14,7 @@
 
 } // namespace
 
-FaultWorld::FaultWorld(const FaultModelSettings &settings)
+FaultModelWorld::FaultModelWorld(const FaultModelSettings &settings)
     : random(settings.seed + 1), settings_(settings),
       alive_(static_cast<std::size_t>(settings.regions * settings.instances), true),
       freeSums_(static_cast<std::size_t>(settings.regions))
@@ -24,7 +24,7 @@
     makeRequests();
 }
 
-void FaultWorld::makeRequests()
+void FaultModelWorld::makeRequests()
 {
     std::mt19937_64 numbers(settings_.seed);
     const double slots = settings_.regions * settings_.targets * settings_.slots;
@@ -41,7 +41,7 @@
     }
 }
 
-FaultModelResult FaultWorld::run(FaultPolicy &policy)
+FaultModelResult FaultModelWorld::run(FaultPolicy &policy)
 {
     policy_ = &policy;
     schedule.at(settings_.faultAtMs, [this] { applyFault(); });
@@ -58,7 +58,7 @@
 
 // Callers of a dead instance use the next one of its region, or one of the other regions by the
 // fallback entries of their look-up.
-void FaultWorld::arrive(std::size_t index)
+void FaultModelWorld::arrive(std::size_t index)
 {
     FaultRequest &request = requests[index];
     const int perRegion = settings_.instances;
@@ -80,20 +80,20 @@
     });
 }
 
-double FaultWorld::delay(int from, int to) const
+double FaultModelWorld::delay(int from, int to) const
 {
     if (from == to)
         return 0;
     return regionOf(from) == regionOf(to) ? settings_.roundTripMs / 2 : settings_.regionDelayMs;
 }
 
-double FaultWorld::targetDelay(std::size_t request, std::size_t target) const
+double FaultModelWorld::targetDelay(std::size_t request, std::size_t target) const
 {
     return regionOf(requests[request].instance) == targets[target].region ? 0
                                                                           : settings_.regionDelayMs;
 }
 
-void FaultWorld::send(std::size_t request, std::size_t target)
+void FaultModelWorld::send(std::size_t request, std::size_t target)
 {
     const double away = targetDelay(request, target);
     if (away == 0)
@@ -102,7 +102,7 @@
         schedule.after(away, [this, request, target] { dispatch(request, target); });
 }
 
-void FaultWorld::dispatch(std::size_t request, std::size_t index)
+void FaultModelWorld::dispatch(std::size_t request, std::size_t index)
 {
     FaultTarget &target = targets[index];
     if (!target.alive) {
@@ -118,7 +118,7 @@
     serve(index);
 }
 
-void FaultWorld::serve(std::size_t index)
+void FaultModelWorld::serve(std::size_t index)
 {
     FaultTarget &target = targets[index];
     while (!target.waiting.empty() && static_cast<int>(target.running.size()) < settings_.slots) {
@@ -134,7 +134,7 @@
     }
 }
 
-void FaultWorld::finish(std::size_t request, std::size_t index)
+void FaultModelWorld::finish(std::size_t request, std::size_t index)
 {
     FaultTarget &target = targets[index];
     std::erase(target.running, request);
@@ -144,7 +144,7 @@
     serve(index);
 }
 
-void FaultWorld::tell(std::size_t index, std::size_t target, GrantResult result)
+void FaultModelWorld::tell(std::size_t index, std::size_t target, GrantResult result)
 {
     schedule.after(targetDelay(index, target), [this, index, target, result] {
         FaultRequest &request = requests[index];
@@ -165,14 +165,14 @@
     });
 }
 
-void FaultWorld::refuse(std::size_t request)
+void FaultModelWorld::refuse(std::size_t request)
 {
     if (!requests[request].ended && requests[request].at >= settings_.faultAtMs)
         ++result_.refused;
     requests[request].ended = true;
 }
 
-void FaultWorld::sendReports()
+void FaultModelWorld::sendReports()
 {
     const bool faulty = schedule.now() >= settings_.faultAtMs;
     for (std::size_t i = 0; i < targets.size(); ++i) {
@@ -190,7 +190,7 @@
         schedule.after(settings_.reportIntervalMs, [this] { sendReports(); });
 }
 
-void FaultWorld::sampleHeadroom()
+void FaultModelWorld::sampleHeadroom()
 {
     std::vector<bool> living(freeSums_.size());
     for (const FaultTarget &target : targets) {
@@ -212,7 +212,7 @@
         schedule.after(sampleMs, [this] { sampleHeadroom(); });
 }
 
-void FaultWorld::applyFault()
+void FaultModelWorld::applyFault()
 {
     switch (settings_.fault) {
     case ModelFault::HolderDies:
@@ -245,7 +245,7 @@
     }
 }
 
-void FaultWorld::killTarget(std::size_t index)
+void FaultModelWorld::killTarget(std::size_t index)
 {
     FaultTarget &target = targets[index];
     target.alive = false;
@@ -258,7 +258,7 @@
 }
 
 // A target goes on with the work of an instance that died.
-void FaultWorld::killInstance(int instance)
+void FaultModelWorld::killInstance(int instance)
 {
     alive_[static_cast<std::size_t>(instance)] = false;
     for (FaultRequest &request : requests) {
--- a/chestnutvane/process/fault_world.h
+++ b/chestnutvane/process/fault_world.h
@@ -64,10 +64,10 @@
     virtual void instanceDied(int /*instance*/) { }
 };
 
-class FaultWorld
+class FaultModelWorld
 {
 public:
-    explicit FaultWorld(const FaultModelSettings &settings);
+    explicit FaultModelWorld(const FaultModelSettings &settings);
 
     FaultModelResult run(FaultPolicy &policy);
 
--- a/chestnutvane/process/slot_fault_model.cc
+++ b/chestnutvane/process/slot_fault_model.cc
@@ -7,7 +7,7 @@
 
 FaultModelResult runUnderFault(SlotPolicy policy, const FaultModelSettings &settings)
 {
-    FaultWorld world(settings);
+    FaultModelWorld world(settings);
     switch (policy) {
     case SlotPolicy::OneQueue:
         return world.run(*makeOneQueuePolicy(world));
--- a/testing/deployment_runner.cc
+++ b/testing/deployment_runner.cc
@@ -1,5 +1,6 @@
 // Runs a whole deployment on loopback under its callers' mix, drains a zone and restarts an
 // instance on the way, and prints the result tables: deployment_runner lumenwick|liga.
+// With --fault the fault of that name takes the place of the restart, for a quarter of the run.
 //
 // Exit status: 0 if every count that must be 0 is 0, 1 if one is not or the run failed, 2 for bad
 // arguments.
@@ -18,6 +19,7 @@
 
 #include "chestnutvane/version/rule_parser.h"
 #include "testing/deployment.h"
+#include "testing/run_fault.h"
 #include "testing/run_scenario.h"
 #include "testing/run_summary.h"
 
@@ -34,6 +36,8 @@
 constexpr Milliseconds inForcePoll{5};
 constexpr double drainAt = 0.35; // part of the callers' time
 constexpr double restartAt = 0.55;
+constexpr double faultFrom = 0.5;
+constexpr double faultTo = 0.75;
 constexpr Milliseconds callersGrace{15'000}; // for answers after the last request
 
 struct Options
@@ -45,6 +49,7 @@
     int network = 0;
     int seconds = 0;
     unsigned seed = 0;
+    RunFault fault = RunFault::None;
 };
 
 std::int64_t monotonicMs()
@@ -64,7 +69,8 @@
 {
 public:
     Run(Options options, RunScenario scenario, Deployment &deployment)
-        : options_(std::move(options)), scenario_(std::move(scenario)), deployment_(deployment)
+        : options_(std::move(options)), scenario_(std::move(scenario)), deployment_(deployment),
+          fault_(options_.fault, deployment, options_.logFolder)
     { }
 
     bool execute()
@@ -78,7 +84,9 @@
             const auto passed = Clock::now() - begin;
             if (drainedAtMs_ == 0 && passed > drainAt * total)
                 drain();
-            if (restartedAtMs_ == 0 && passed > restartAt * total)
+            if (options_.fault != RunFault::None)
+                followFault(passed / total);
+            else if (restartedAtMs_ == 0 && passed > restartAt * total)
                 terminate();
             followRestart();
             for (const auto &instance : deployment_.instances())
@@ -97,10 +105,17 @@
                 "its targets after {} ms\n",
                 scenario_.drainedZone, drainAnswer_.outcome, drainAcceptedMs_, drainInForceMs_,
                 lastDrainedWorkMs_);
-        fmt::print("restart of {}: exit status {} after {} ms\n", restarted_, exitStatus_,
-                   exitAfterMs_);
+        const bool restarts = options_.fault == RunFault::None;
+        if (restarts)
+            fmt::print("restart of {}: exit status {} after {} ms\n", restarted_, exitStatus_,
+                       exitAfterMs_);
+        else
+            fmt::print("fault {} from {:.1f} s to {:.1f} s of {} s: {}\n",
+                       enumName(runFaultNames, options_.fault), faultFromSeconds_, faultToSeconds_,
+                       options_.seconds, fault_.description());
         const bool planned = drainAnswer_.outcome == "accepted"
-                && drainInForceMs_ < inForceTimeout.count() && exitStatus_ == 0;
+                && drainInForceMs_ < inForceTimeout.count()
+                && (restarts ? exitStatus_ == 0 : faultToSeconds_ > 0);
         return summary_.faults() == 0 && planned ? 0 : 1;
     }
 
@@ -172,6 +187,18 @@
         });
     }
 
+    void followFault(double passedPart)
+    {
+        const double seconds = passedPart * options_.seconds;
+        if (faultFromSeconds_ == 0 && passedPart > faultFrom) {
+            faultFromSeconds_ = seconds;
+            fault_.begin();
+        } else if (faultToSeconds_ == 0 && passedPart > faultTo) {
+            faultToSeconds_ = seconds;
+            fault_.end();
+        }
+    }
+
     void terminate()
     {
         restarted_ = deployment_.instances().front().id;
@@ -202,6 +229,7 @@
             }
         }
         auto records = deployment_.records();
+        fault_.restoreRecords(records);
         const auto drained = targetsInZone(deployment_.rules(), scenario_.drainedZone);
         for (const auto &record : records) {
             if (drained.contains(record.name))
@@ -220,6 +248,9 @@
     std::int64_t drainAcceptedMs_ = 0;
     std::int64_t drainInForceMs_ = 0;
     std::int64_t lastDrainedWorkMs_ = 0;
+    InjectedFault fault_;
+    double faultFromSeconds_ = 0;
+    double faultToSeconds_ = 0;
     std::string restarted_;
     std::int64_t restartedAtMs_ = 0;
     std::int64_t exitAfterMs_ = 0;
@@ -234,11 +265,19 @@
         std::cerr << "deployment_runner: cannot use " << scenario.rulesFile << "\n";
         return 1;
     }
+    std::vector<std::string> targetFlags;
+    if (options.fault != RunFault::None) {
+        targetFlags.emplace_back("--log-runs");
+        // Output is added to a log; runs of an earlier run must not be counted.
+        for (const auto &target : value(parsed).targets)
+            std::filesystem::remove(options.logFolder + "/" + target.name + ".log");
+    }
     auto made = Deployment::create({.programFolder = options.programFolder,
                                     .logFolder = options.logFolder,
                                     .network = options.network,
                                     .rules = rules,
-                                    .instances = placeInstances(value(parsed), instanceCount)});
+                                    .instances = placeInstances(value(parsed), instanceCount),
+                                    .targetFlags = targetFlags});
     if (!isOk(made)) {
         std::cerr << "deployment_runner: " << error(made).detail << "\n";
         return 1;
@@ -273,7 +312,16 @@
                                        command);
     const TCLAP::ValueArg<unsigned> seed("", "seed", "Seed of the callers", false, 20261204,
                                          "number", command);
+    const TCLAP::ValueArg<std::string> faultName("", "fault", "Fault in the middle of the run",
+                                                 false, "none", allEnumNames(runFaultNames),
+                                                 command);
     command.parse(argc, argv);
+    const auto fault = enumFromName(runFaultNames, faultName.getValue());
+    if (!fault) {
+        std::cerr << "deployment_runner: unknown fault \"" << faultName.getValue()
+                  << "\"; allowed: " << allEnumNames(runFaultNames) << "\n";
+        return 2;
+    }
     const auto scenario = findScenario(name.getValue());
     if (!scenario) {
         std::cerr << "deployment_runner: unknown scenario \"" << name.getValue()
@@ -281,7 +329,7 @@
         return 2;
     }
     Options options{name.getValue(),    programs.getValue(), rules.getValue(), logs.getValue(),
-                    network.getValue(), seconds.getValue(),  seed.getValue()};
+                    network.getValue(), seconds.getValue(),  seed.getValue(),  *fault};
     const bool keepLogs = !options.logFolder.empty();
     if (!keepLogs) {
         auto pattern = (std::filesystem::temp_directory_path() / "deployment-XXXXXX").string();
--- a/testing/run_summary.cc
+++ b/testing/run_summary.cc
@@ -88,16 +88,17 @@
 {
     std::string text;
     auto out = std::back_inserter(text);
-    fmt::format_to(out, "{:<14}{:>8}{:>8}{:>9}{:>9}{:>10}{:>10}  {}\n", "class", "sent", "whole",
-                   "not-run", "unknown", "p50 ms", "p99 ms", "reasons");
+    fmt::format_to(out, "{:<14}{:>8}{:>8}{:>9}{:>9}{:>10}{:>10}{:>10}  {}\n", "class", "sent",
+                   "whole", "not-run", "unknown", "p50 ms", "p99 ms", "p99.9 ms", "reasons");
     for (const auto &[name, result] : summary.classes) {
         std::string reasons;
         for (const auto &[reason, count] : result.reasons)
             reasons += fmt::format("{}{} {}", reasons.empty() ? "" : ", ", count, reason);
-        fmt::format_to(out, "{:<14}{:>8}{:>8}{:>9}{:>9}{:>10.1f}{:>10.1f}  {}\n", name, result.sent,
-                       result.whole, result.notRun, result.unknown,
+        fmt::format_to(out, "{:<14}{:>8}{:>8}{:>9}{:>9}{:>10.1f}{:>10.1f}{:>10.1f}  {}\n", name,
+                       result.sent, result.whole, result.notRun, result.unknown,
                        percentileMs(result.latenciesUs, 0.5),
-                       percentileMs(result.latenciesUs, 0.99), reasons);
+                       percentileMs(result.latenciesUs, 0.99),
+                       percentileMs(result.latenciesUs, 0.999), reasons);
     }
     fmt::format_to(out, "\n{:<24}{:>14}{:>12}{:>16}{:>13}\n", "unit", "highest use", "in use",
                    "least headroom", "most queued");
