Split the HTTP client into message, exchange and client

The HTTP server depended on libcurl through it for the type of a header.

Change: http_message has the plain structs, the failures and findHeader; http_exchange has one request and its answer on a libcurl handle and decides whether the request may have left; http_client keeps the thread, the silence limit and abandoned connections. http_client.h includes http_message.h, so no other user changes; http_server needs http_message only. Ruled out: a module for abandoned connections, which is one map under the client's lock and one function.

The process tests were not run.

--- a/chestnutvane/connection/http_client.cc
+++ b/chestnutvane/connection/http_client.cc
@@ -1,15 +1,13 @@
 #include "chestnutvane/connection/http_client.h"
 
-#include <curl/curl.h>
-#include <strings.h>
-
-#include <algorithm>
 #include <atomic>
 #include <deque>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
 
+#include "chestnutvane/connection/http_exchange.h"
+
 namespace chestnutvane {
 namespace internal {
 namespace {
@@ -20,209 +18,12 @@
 constexpr int maxPollMs = 1000;
 constexpr int silencePollMs = 20;
 
-struct Exchange
-{
-    HttpClient::SendId id = 0;
-    HttpRequest request;
-    HttpClient::Callback callback;
-    HttpResponse response;
-    CURL *easy = nullptr;
-    curl_slist *headerList = nullptr;
-    TimePoint requestStart{};
-    bool requestStarted = false; // the connection is open; bytes of the request may have left
-    bool reusedConnection = false;
-    bool firstByteSeen = false;
-    bool silenceReported = false;
-    bool tooLarge = false;
-    bool lengthKnown = false;
-
-    ~Exchange()
-    {
-        curl_slist_free_all(headerList);
-        if (easy != nullptr)
-            curl_easy_cleanup(easy);
-    }
-};
-
-bool equalsIgnoreCase(std::string_view a, std::string_view b)
-{
-    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
-std::string_view trim(std::string_view text)
-{
-    constexpr std::string_view blanks = " \t\r\n";
-    const auto first = text.find_first_not_of(blanks);
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
-}
-
-int onRequestStart(void *context, char *, char *, int, int)
-{
-    auto *exchange = static_cast<Exchange *>(context);
-    long newConnections = 0;
-    curl_easy_getinfo(exchange->easy, CURLINFO_NUM_CONNECTS, &newConnections);
-    exchange->requestStarted = true;
-    exchange->reusedConnection = newConnections == 0;
-    exchange->requestStart = Clock::now();
-    return CURL_PREREQFUNC_OK;
-}
-
-std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *context)
-{
-    auto *exchange = static_cast<Exchange *>(context);
-    exchange->firstByteSeen = true;
-    const std::string_view line(data, size * count);
-    if (line.starts_with("HTTP/")) { // a new head, for example after 100 Continue
-        exchange->response.headers.clear();
-        exchange->lengthKnown = false;
-        return line.size();
-    }
-    const auto colon = line.find(':');
-    if (colon == std::string_view::npos)
-        return line.size();
-    const auto name = trim(line.substr(0, colon));
-    if (equalsIgnoreCase(name, "content-length") || equalsIgnoreCase(name, "transfer-encoding"))
-        exchange->lengthKnown = true;
-    exchange->response.headers.push_back(
-            {std::string(name), std::string(trim(line.substr(colon + 1)))});
-    return line.size();
-}
-
-std::size_t onBody(char *data, std::size_t size, std::size_t count, void *context)
-{
-    auto *exchange = static_cast<Exchange *>(context);
-    exchange->firstByteSeen = true;
-    const std::size_t bytes = size * count;
-    if (exchange->response.body.size() + bytes > exchange->request.maxResponseBytes) {
-        exchange->tooLarge = true;
-        return 0;
-    }
-    exchange->response.body.append(data, bytes);
-    return bytes;
-}
-
-void setBody(Exchange &exchange)
-{
-    const auto &request = exchange.request;
-    if (request.body && !request.body->empty()) {
-        curl_easy_setopt(exchange.easy, CURLOPT_POSTFIELDS, request.body->data());
-        curl_easy_setopt(exchange.easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                         static_cast<curl_off_t>(request.body->size()));
-    } else if (request.method == "POST" || request.method == "PUT") {
-        curl_easy_setopt(exchange.easy, CURLOPT_POSTFIELDS, "");
-        curl_easy_setopt(exchange.easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(0));
-    } else if (request.method == "HEAD") {
-        curl_easy_setopt(exchange.easy, CURLOPT_NOBODY, 1L);
-        return;
-    }
-    curl_easy_setopt(exchange.easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
-}
-
-void setHeaders(Exchange &exchange)
-{
-    // libcurl would otherwise wait for "100 Continue" before it sends larger bodies.
-    exchange.headerList = curl_slist_append(nullptr, "Expect:");
-    // libcurl adds a content type to each body; only the caller's own one is passed on.
-    if (findHeader(exchange.request.headers, "Content-Type") == nullptr)
-        exchange.headerList = curl_slist_append(exchange.headerList, "Content-Type:");
-    for (const auto &[name, text] : exchange.request.headers) {
-        const std::string line = text.empty() ? name + ";" : name + ": " + text;
-        exchange.headerList = curl_slist_append(exchange.headerList, line.c_str());
-    }
-    curl_easy_setopt(exchange.easy, CURLOPT_HTTPHEADER, exchange.headerList);
-}
-
-bool prepare(Exchange &exchange, const HttpClientOptions &options)
-{
-    exchange.easy = curl_easy_init();
-    if (exchange.easy == nullptr)
-        return false;
-    CURL *easy = exchange.easy;
-    const auto &request = exchange.request;
-    curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
-    curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, std::max<long>(1, request.timeout.count()));
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                     std::max<long>(1, request.connectTimeout.count()));
-    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(options.maxIdleAge.count()));
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request.freshConnection ? 1L : 0L);
-    // A fresh connection that stays open would add up to more than a target accepts.
-    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, request.freshConnection ? 1L : 0L);
-    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onRequestStart);
-    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &exchange);
-    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, onHeader);
-    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &exchange);
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &exchange);
-    curl_easy_setopt(easy, CURLOPT_PRIVATE, &exchange);
-    setBody(exchange);
-    setHeaders(exchange);
-    return true;
-}
-
-HttpFailure failureOf(CURLcode code, const Exchange &exchange)
-{
-    if (exchange.tooLarge)
-        return HttpFailure::ResponseTooLarge;
-    switch (code) {
-    case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
-        return HttpFailure::BadRequest;
-    case CURLE_OPERATION_TIMEDOUT:
-        return exchange.requestStarted ? HttpFailure::Timeout : HttpFailure::ConnectFailed;
-    default:
-        return exchange.requestStarted ? HttpFailure::ConnectionLost : HttpFailure::ConnectFailed;
-    }
-}
-
-// A body that ends with the connection cannot be told from one that was cut.
-bool hasProvableEnd(const Exchange &exchange, int status)
-{
-    return exchange.lengthKnown || status == 204 || status == 304
-            || exchange.request.method == "HEAD";
-}
-
-HttpError errorOf(HttpFailure failure, const Exchange &exchange, std::string detail)
-{
-    return HttpError{.failure = failure,
-                     .mayHaveBeenSent = exchange.requestStarted,
-                     .reusedConnection = exchange.reusedConnection,
-                     .detail = std::move(detail)};
-}
-
-Result<HttpResponse, HttpError> resultOf(CURLcode code, Exchange &exchange)
-{
-    if (code != CURLE_OK)
-        return errorOf(failureOf(code, exchange), exchange, curl_easy_strerror(code));
-    long status = 0;
-    curl_easy_getinfo(exchange.easy, CURLINFO_RESPONSE_CODE, &status);
-    exchange.response.status = static_cast<int>(status);
-    exchange.response.reusedConnection = exchange.reusedConnection;
-    if (!hasProvableEnd(exchange, exchange.response.status))
-        return errorOf(HttpFailure::ConnectionLost, exchange, "the answer states no length");
-    return std::move(exchange.response);
-}
-
 } // namespace
 } // namespace internal
 
-const std::string *findHeader(const std::vector<HttpHeader> &headers, std::string_view name)
-{
-    for (const auto &header : headers) {
-        if (internal::equalsIgnoreCase(header.name, name))
-            return &header.value;
-    }
-    return nullptr;
-}
-
 struct HttpClient::Impl
 {
-    using Exchange = internal::Exchange;
+    using Exchange = internal::HttpExchange;
 
     HttpClientOptions options;
     CURLM *multi = nullptr;
@@ -263,7 +64,8 @@
         }
         while (!running.empty())
             finish(running.begin()->first, [](Exchange &exchange) {
-                return internal::errorOf(HttpFailure::ShuttingDown, exchange, "shutting down");
+                return internal::exchangeError(HttpFailure::ShuttingDown, exchange,
+                                               "shutting down");
             });
     }
 
@@ -283,16 +85,16 @@
             begin(std::move(exchange));
         for (const SendId id : stop)
             finish(id, [](Exchange &exchange) {
-                return internal::errorOf(HttpFailure::Cancelled, exchange, "cancelled");
+                return internal::exchangeError(HttpFailure::Cancelled, exchange, "cancelled");
             });
         return keepRunning;
     }
 
     void begin(std::unique_ptr<Exchange> exchange)
     {
-        if (!internal::prepare(*exchange, options)) {
-            exchange->callback(
-                    internal::errorOf(HttpFailure::BadRequest, *exchange, "libcurl has no handle"));
+        if (!internal::prepareExchange(*exchange, options.maxIdleAge)) {
+            exchange->callback(internal::exchangeError(HttpFailure::BadRequest, *exchange,
+                                                       "libcurl has no handle"));
             return;
         }
         applyAbandonment(*exchange);
@@ -331,7 +133,8 @@
             Exchange *exchange = nullptr;
             curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &exchange);
             const CURLcode code = message->data.result;
-            finish(exchange->id, [code](Exchange &done) { return internal::resultOf(code, done); });
+            finish(exchange->id,
+                   [code](Exchange &done) { return internal::exchangeResult(code, done); });
         }
     }
 
@@ -391,7 +194,7 @@
 
 HttpClient::SendId HttpClient::send(HttpRequest request, Callback callback)
 {
-    auto exchange = std::make_unique<internal::Exchange>();
+    auto exchange = std::make_unique<internal::HttpExchange>();
     exchange->id = impl_->nextId++;
     exchange->request = std::move(request);
     exchange->callback = std::move(callback);
--- a/chestnutvane/connection/http_server.h
+++ b/chestnutvane/connection/http_server.h
@@ -19,7 +19,7 @@
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/base/time.h"
 #include "chestnutvane/connection/close_watch.h"
-#include "chestnutvane/connection/http_client.h"
+#include "chestnutvane/connection/http_message.h"
 
 namespace chestnutvane {
 
