Cut the making of a region plan into steps

Cause: makeRegionPlan (52 lines) read five kinds of rules in one body.

Change: addRegions, addClients, addTargets and addMoves, called in the order in which their mistakes were reported before.

Result: makeRegionPlan 13 lines. ctest -LE process: 191 of 191 pass.

--- a/chestnutvane/version/region_choice.cc
+++ b/chestnutvane/version/region_choice.cc
@@ -176,21 +176,17 @@
                         [&](const std::string &zone) { return hasDrain(DrainKind::Zone, zone); }));
 }
 
-} // namespace
-
-Result<RegionPlan, RegionPlanError> makeRegionPlan(const RuleSet &rules)
+void addRegions(const RuleSet &rules, RegionPlan &plan)
 {
-    if (rules.regions.size() > maxRegions)
-        return RegionPlanError{RegionPlanFailure::TooManyRegions, rules.regions[maxRegions].name};
-    RegionPlan plan;
     for (const RegionRule &region : rules.regions) {
         if (isRegionDrained(rules, region))
             plan.drained |= bit(static_cast<RegionId>(plan.regions.size()));
         plan.regions.push_back({region.name, hash64(region.name, regionSeed)});
     }
-    for (const ServiceRule &service : rules.services)
-        plan.services.push_back(service.name);
+}
 
+std::optional<RegionPlanError> addClients(const RuleSet &rules, RegionPlan &plan)
+{
     for (const ClientsRule &clients : rules.clients) {
         auto &weighted = plan.clients.emplace_back();
         for (const WeightedRegion &entry : clients.regions) {
@@ -203,7 +199,11 @@
         if (weighted.empty())
             return RegionPlanError{RegionPlanFailure::NoRegions, clients.prefix};
     }
+    return std::nullopt;
+}
 
+std::optional<RegionPlanError> addTargets(const RuleSet &rules, RegionPlan &plan)
+{
     plan.withTargets.resize(plan.services.size());
     for (const TargetRule &target : rules.targets) {
         const auto service = findService(plan, target.service);
@@ -217,7 +217,11 @@
                 plan.withTargets[*service] |= bit(static_cast<RegionId>(region));
         }
     }
+    return std::nullopt;
+}
 
+std::optional<RegionPlanError> addMoves(const RuleSet &rules, RegionPlan &plan)
+{
     for (const MoveRule &move : rules.moves) {
         const auto service = findService(plan, move.service);
         const auto from = findRegion(plan, move.from);
@@ -229,6 +233,23 @@
         plan.moves.push_back({move.name, hash64(move.name, moveSeed), *service, *from, *to,
                               std::clamp(move.percent / 100, 0.0, 1.0)});
     }
+    return std::nullopt;
+}
+
+} // namespace
+
+Result<RegionPlan, RegionPlanError> makeRegionPlan(const RuleSet &rules)
+{
+    if (rules.regions.size() > maxRegions)
+        return RegionPlanError{RegionPlanFailure::TooManyRegions, rules.regions[maxRegions].name};
+    RegionPlan plan;
+    addRegions(rules, plan);
+    for (const ServiceRule &service : rules.services)
+        plan.services.push_back(service.name);
+    for (const auto &add : {addClients, addTargets, addMoves}) {
+        if (auto failure = add(rules, plan))
+            return std::move(*failure);
+    }
     return plan;
 }
 
