Make the IPv4 ranges of a slice without allocations

Cause: PrefixTableTest.ChangesEqualRebuild is the longest test under AddressSanitizer. 48 of the 53% of its samples that the unwinder attributes are in Ipv4Ranges::withSlices: each build visits all 65,536 slices and allocates several vectors for each, and the spans of a change are read once for each of the 256 pages.

Change: a SliceWriter keeps its buffers from slice to slice, and the sorted spans are read once. The naive look-up of the test, at below 1% of the samples, stays as it is.

--- a/chestnutvane/version/ipv4_ranges.cc
+++ b/chestnutvane/version/ipv4_ranges.cc
@@ -1,6 +1,7 @@
 #include "chestnutvane/version/ipv4_ranges.h"
 
 #include <algorithm>
+#include <array>
 #include <cstring>
 #include <utility>
 
@@ -56,10 +57,35 @@
     return total;
 }
 
-// The ranges of one slice as the places where the choice changes. Before the first there is none.
-class RangeList
+// Writes the ranges of slices. The buffers are kept from one slice to the next: most slices have a
+// single range, and a build visits all 65,536.
+class SliceWriter
 {
 public:
+    // Appends the ranges of a slice.
+    void append(const SliceBlocks &slice, std::vector<std::uint16_t> &cells)
+    {
+        changes_.clear();
+        set(0, slice.enclosing);
+        open_.assign(1, {sliceSize, slice.enclosing});
+        for (const auto &block : slice.blocks) {
+            const std::uint32_t start = block.start % sliceSize;
+            closeUntil(start);
+            set(start, block.choice);
+            open_.push_back({start + (1U << (32U - block.length)), block.choice});
+        }
+        closeUntil(sliceSize);
+        appendChanges(cells);
+    }
+
+private:
+    struct Open
+    {
+        std::uint32_t end;
+        std::optional<std::uint8_t> choice;
+    };
+
+    // Notes a place where the choice changes. Before the first there is none.
     void set(std::uint32_t start, std::optional<std::uint8_t> choice)
     {
         if (!changes_.empty() && changes_.back().first == start)
@@ -68,52 +94,35 @@
             changes_.emplace_back(start, choice);
     }
 
-    void appendTo(std::vector<std::uint16_t> &cells) const
+    void closeUntil(std::uint32_t place)
+    {
+        while (open_.size() > 1 && open_.back().end <= place) {
+            const std::uint32_t end = open_.back().end;
+            open_.pop_back();
+            if (end < sliceSize)
+                set(end, open_.back().choice);
+        }
+    }
+
+    void appendChanges(std::vector<std::uint16_t> &cells)
     {
-        std::vector<std::uint8_t> choices;
+        choices_.clear();
         for (const auto &[start, choice] : changes_) {
             const std::size_t copies = choice == noChoice ? 2 : 1;
             cells.insert(cells.end(), copies, static_cast<std::uint16_t>(start));
-            choices.insert(choices.end(), copies, choice.value_or(noChoice));
+            choices_.insert(choices_.end(), copies, choice.value_or(noChoice));
         }
         const std::size_t begin = cells.size();
-        cells.resize(begin + (choices.size() + 1) / 2);
-        std::copy(choices.begin(), choices.end(),
+        cells.resize(begin + (choices_.size() + 1) / 2);
+        std::copy(choices_.begin(), choices_.end(),
                   reinterpret_cast<std::uint8_t *>(cells.data() + begin));
     }
 
-private:
     std::vector<std::pair<std::uint32_t, std::optional<std::uint8_t>>> changes_;
+    std::vector<std::uint8_t> choices_;
+    std::vector<Open> open_;
 };
 
-RangeList flatten(const SliceBlocks &slice)
-{
-    RangeList ranges;
-    ranges.set(0, slice.enclosing);
-    struct Open
-    {
-        std::uint32_t end;
-        std::optional<std::uint8_t> choice;
-    };
-    std::vector<Open> open = {{sliceSize, slice.enclosing}};
-    const auto closeUntil = [&](std::uint32_t place) {
-        while (open.size() > 1 && open.back().end <= place) {
-            const std::uint32_t end = open.back().end;
-            open.pop_back();
-            if (end < sliceSize)
-                ranges.set(end, open.back().choice);
-        }
-    };
-    for (const auto &block : slice.blocks) {
-        const std::uint32_t start = block.start % sliceSize;
-        closeUntil(start);
-        ranges.set(start, block.choice);
-        open.push_back({start + (1U << (32U - block.length)), block.choice});
-    }
-    closeUntil(sliceSize);
-    return ranges;
-}
-
 } // namespace
 
 struct Ipv4Ranges::Page
@@ -176,16 +185,20 @@
     result.pages_.resize(pageCount);
     result.views_.resize(pageCount);
     SliceBlocks blocks;
+    SliceWriter writer;
+    std::size_t nextSpan = 0;
+    std::uint32_t newUntil = 0; // end of the slices of the spans before "nextSpan"
     for (std::uint32_t p = 0; p < pageCount; ++p) {
         const std::uint32_t firstSlice = p * slicesPerPage;
-        std::vector<bool> isNew(slicesPerPage);
+        // The spans are sorted, so that each is read once and overlaps are not marked again.
+        std::array<bool, slicesPerPage> isNew{};
         bool anyNew = false;
-        for (const auto &[begin, end] : slices) {
-            const std::uint32_t last = std::min(end, firstSlice + slicesPerPage);
-            for (std::uint32_t slice = std::max(begin, firstSlice); slice < last; ++slice) {
-                isNew[slice - firstSlice] = true;
-                anyNew = true;
-            }
+        for (std::uint32_t i = 0; i < slicesPerPage; ++i) {
+            const std::uint32_t slice = firstSlice + i;
+            for (; nextSpan < slices.size() && slices[nextSpan].begin <= slice; ++nextSpan)
+                newUntil = std::max(newUntil, slices[nextSpan].end);
+            isNew[i] = slice < newUntil;
+            anyNew = anyNew || isNew[i];
         }
         if (!anyNew)
             continue;
@@ -199,7 +212,7 @@
                 blocks.enclosing.reset();
                 blocks.blocks.clear();
                 source(firstSlice + i, blocks);
-                flatten(blocks).appendTo(page->cells);
+                writer.append(blocks, page->cells);
             } else if (old != nullptr) {
                 const auto offset = [&](std::uint32_t at) {
                     return static_cast<std::ptrdiff_t>(old->wide.empty() ? old->narrow[at]
