Show the units of the whole fleet in status

Cause: `chestnutvanectl status` showed headroom and queue only of the units whose broker is the answering instance, so an operator had to find and ask the broker of each unit.

Change: the answer has "fleet-units", a row for each unit of the configuration with its broker, the state of that instance, epoch, free slots, headroom and the age of the report, or "no known broker". The rows are made by the pure function fleetUnits() from the member records and the headroom table; heartbeats are unchanged.

--- a/chestnutvane/operator/command_output.cc
+++ b/chestnutvane/operator/command_output.cc
@@ -71,6 +71,36 @@
             + diffText(report.rules, change.rules, colour);
 }
 
+// A number of an answer; 0 if it is absent or no number.
+double realMember(const json &object, const char *name)
+{
+    return object.contains(name) && object.at(name).is_number() ? object.at(name).get<double>() : 0;
+}
+
+bool isKnown(const json &object, const char *name)
+{
+    return object.is_object() && object.contains(name) && !object.at(name).is_null();
+}
+
+std::string fleetUnitText(const json &unit, Colour colour)
+{
+    auto text = fmt::format("  {:<28} ", show(unit, "service") + "/" + show(unit, "region"));
+    if (!isKnown(unit, "broker"))
+        return text + coloured("no known broker", red, colour) + "\n";
+    const auto state = show(unit, "broker-status");
+    text += fmt::format("broker {:<16} {:<8} epoch {:<4} ", show(unit, "broker"),
+                        coloured(state, state == "serving" ? green : red, colour),
+                        show(unit, "epoch"));
+    if (isKnown(unit, "report-age-ms"))
+        text += fmt::format("{} of {} usable slots free, {} queued, headroom {:.2f}, {:.1f} s old",
+                            show(unit, "free-slots"), show(unit, "usable-slots"),
+                            show(unit, "queued"), realMember(unit, "headroom"),
+                            realMember(unit, "report-age-ms") / 1000);
+    else
+        text += "no report of this epoch";
+    return text + (show(unit, "configured") == "false" ? ", not in the configuration\n" : "\n");
+}
+
 } // namespace
 } // namespace internal
 
@@ -153,7 +183,10 @@
                             show(member, "revision"), show(member, "operator-address"),
                             brokers.empty() ? "" : "  broker of" + brokers);
     }
-    text += "\nunits whose broker is the answering instance:\n";
+    text += fmt::format("\nunits of the fleet, as known to {}:\n", show(status, "instance"));
+    for (const auto &unit : listOf(status, "fleet-units"))
+        text += internal::fleetUnitText(unit, colour);
+    text += "\nmore on the units whose broker is the answering instance:\n";
     for (const auto &unit : listOf(status, "units"))
         text += fmt::format("  {}/{}: {} of {} slots in use, {} usable, {} queued, headroom {}{}\n",
                             show(unit, "service"), show(unit, "region"), show(unit, "in-use"),
--- a/chestnutvane/operator/operator_loopback_test.cc
+++ b/chestnutvane/operator/operator_loopback_test.cc
@@ -231,6 +231,44 @@
     EXPECT_EQ(json::parse(result.output)["lagging"][0]["id"], "i2");
 }
 
+// Guards against a status that shows only the units of the answering instance, and against
+// members of the answer that scripts read and that are gone.
+TEST_F(OperatorLoopbackTest, StatusShowsUnitsOfOtherInstances)
+{
+    const std::string version = rules
+            + "region b zones=b1 # asked by Mei\n"
+              "target t-1 service=s zone=a1 address=127.0.0.1:1 slots=4 connections=9 # asked by "
+              "Lin\n"
+              "target t-2 service=s zone=b1 address=127.0.0.1:2 slots=4 connections=9 # asked by "
+              "Lin\n";
+    file_ = version;
+    EXPECT_EQ(run(apply_).status, ExitStatus::Done);
+    instance_.membership.use([](MembershipState &state) {
+        auto other = record("i2");
+        other.state = MemberState::Serving;
+        other.brokers = {{"s", "a", 3}};
+        other.headroom = {{"s", "a", 3, 2, 4, 0, Milliseconds(0)}};
+        state.table.receive({.sender = other}, Clock::now());
+        takeHeadroomReports(state.headroom, other, Clock::now() - Milliseconds(400));
+    });
+    const auto status = json::parse(run({.name = CommandName::Status}).output);
+    EXPECT_EQ(status["units"], json::array()) << "the answering instance has no broker role";
+    EXPECT_EQ(status["members"].size(), 2U);
+    const auto &units = status["fleet-units"];
+    ASSERT_EQ(units.size(), 2U);
+    EXPECT_EQ(units[0]["region"], "a");
+    EXPECT_EQ(units[0]["broker"], "i2");
+    EXPECT_EQ(units[0]["epoch"], 3);
+    EXPECT_EQ(units[0]["headroom"], 0.5);
+    EXPECT_GE(units[0]["report-age-ms"], 400);
+    EXPECT_EQ(units[1]["region"], "b");
+    EXPECT_TRUE(units[1]["broker"].is_null());
+    const auto text = statusText(status, Colour::Off);
+    EXPECT_NE(text.find("s/a "), std::string::npos) << text;
+    EXPECT_NE(text.find("broker i2"), std::string::npos) << text;
+    EXPECT_NE(text.find("no known broker"), std::string::npos) << text;
+}
+
 // Guards against an instance that names only the first mistake, for tools that do not check.
 TEST_F(OperatorLoopbackTest, InstanceNamesEveryMistake)
 {
--- a/chestnutvane/process/headroom.cc
+++ b/chestnutvane/process/headroom.cc
@@ -64,6 +64,15 @@
     unit.madeAt = madeAt;
 }
 
+std::optional<std::pair<HeadroomReport, TimePoint>>
+HeadroomTable::newestReport(const std::string &service, const std::string &region) const
+{
+    const Unit *unit = findUnit(service, region);
+    if (unit == nullptr || !unit->hasReport)
+        return std::nullopt;
+    return std::pair(unit->report, unit->madeAt);
+}
+
 void HeadroomTable::ownOutcome(const std::string &service, const std::string &region,
                                OwnOutcome outcome, TimePoint now)
 {
--- a/chestnutvane/process/headroom.h
+++ b/chestnutvane/process/headroom.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -80,6 +81,10 @@
     // the life of a report, if requests are queued, or if own refusals contradict the report.
     double headroom(const std::string &service, const std::string &region, TimePoint now) const;
 
+    // The newest report of a unit with the time at which it was made, whatever its age.
+    std::optional<std::pair<HeadroomReport, TimePoint>>
+    newestReport(const std::string &service, const std::string &region) const;
+
     // Share of the unit's callers that should go elsewhere: 0 unless requests are queued or own
     // requests are refused; grows with both, and 0 without a recent report or outcome.
     double overflowShare(const std::string &service, const std::string &region,
--- a/chestnutvane/process/operator_service.cc
+++ b/chestnutvane/process/operator_service.cc
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "chestnutvane/connection/query_string.h"
+#include "chestnutvane/process/fleet_units.h"
 #include "chestnutvane/version/rule_parser.h"
 
 namespace chestnutvane {
@@ -94,6 +95,28 @@
     return change;
 }
 
+// A unit of the fleet; members that are not known are null.
+json fleetUnitJson(const FleetUnit &unit)
+{
+    json row{{"service", unit.service}, {"region", unit.region},    {"configured", unit.configured},
+             {"broker", nullptr},       {"broker-status", nullptr}, {"epoch", nullptr},
+             {"free-slots", nullptr},   {"usable-slots", nullptr},  {"queued", nullptr},
+             {"headroom", nullptr},     {"report-age-ms", nullptr}};
+    if (unit.broker) {
+        row["broker"] = unit.broker->instance;
+        row["broker-status"] = enumName(memberStatusNames, unit.broker->status);
+        row["epoch"] = unit.broker->epoch;
+    }
+    if (unit.report) {
+        row["free-slots"] = unit.report->freeSlots;
+        row["usable-slots"] = unit.report->usableSlots;
+        row["queued"] = unit.report->queued;
+        row["headroom"] = unit.report->headroom;
+        row["report-age-ms"] = unit.report->age.count();
+    }
+    return row;
+}
+
 bool isNameLength(std::string_view text)
 {
     return !text.empty() && text.size() <= maxNameBytes;
@@ -167,7 +190,8 @@
             {"instance", instance_.settings.instanceId}, {"incarnation", instance_.incarnation},
             {"zone", instance_.settings.zone},           {"ready", ready()},
             {"in-flight", callers_.inFlight()},          {"members", internal::json::array()},
-            {"units", internal::json::array()}};
+            {"units", internal::json::array()},          {"fleet-units", internal::json::array()}};
+    const auto version = instance_.version();
     instance_.configuration.use([&](ConfigurationState &state) {
         body["revision"] = state.holder.head().revision;
         body["change-id"] = state.holder.head().changeId;
@@ -194,6 +218,10 @@
                                            {"queued", unit.queued}});
             body["members"].push_back(std::move(row));
         }
+        const auto now = Clock::now();
+        for (const auto &unit :
+             fleetUnits(version.get(), state.table.members(now), state.headroom, now))
+            body["fleet-units"].push_back(internal::fleetUnitJson(unit));
     });
     for (const auto &report : brokers_.reports())
         body["units"].push_back({{"service", report.service},
