Let an operator's clear of a suspect win against late counts

Cause: a request that crashed targets was refused for 10 minutes without a way to end that. The existing rule for clearing (all crashes known here) is not enough for an operator's clear: a count that the clearing instance had not heard of brings the refusal back.

Change: a clear raises the generation of the fingerprint, and counts carry the generation that their counter knew; only the highest counts. The clear is a count of 0 crashes, so it spreads and ends with the counts. Ruled out: a clear with a time, because ages are off by the travel of heartbeats and instances would decide differently about crashes near the clear. CrashSuspects::report() gives operators what the verdicts rest on. An instance now also takes back counts of its own that its table has lost.

--- a/chestnutvane/process/crash_suspects.cc
+++ b/chestnutvane/process/crash_suspects.cc
@@ -9,6 +9,36 @@
 // expiring count back and forth for ever.
 constexpr Milliseconds relayMargin{10000};
 
+struct Counted
+{
+    Duration remaining{}; // time until the count expires
+    std::uint32_t crashes = 0;
+};
+
+std::uint32_t sumOf(const std::vector<Counted> &list)
+{
+    std::uint32_t crashes = 0;
+    for (const Counted &count : list)
+        crashes += count.crashes;
+    return crashes;
+}
+
+// Time until enough counts have expired for the sum to be below a limit; nothing if it is below.
+std::optional<Duration> refusedFor(std::vector<Counted> list, std::uint32_t limit)
+{
+    std::sort(list.begin(), list.end(),
+              [](const Counted &a, const Counted &b) { return a.remaining < b.remaining; });
+    std::uint32_t crashes = sumOf(list);
+    std::optional<Duration> result;
+    for (const Counted &count : list) {
+        if (crashes < limit)
+            break;
+        result = count.remaining;
+        crashes -= count.crashes;
+    }
+    return result;
+}
+
 } // namespace
 
 CrashSuspects::CrashSuspects(const HolderId &self, std::string region,
@@ -20,9 +50,11 @@
 {
     expire(now);
     const Key key{fingerprint, self_};
+    const std::uint32_t generation = generationOf(fingerprint).value_or(0);
     if (!entries_.contains(key))
         makeRoom();
     Entry &entry = entries_[key];
+    entry.generation = generation;
     entry.region = region_;
     ++entry.crashes;
     entry.lastCrash = now;
@@ -37,26 +69,45 @@
     }
 }
 
+std::uint32_t CrashSuspects::clearByOperator(std::uint64_t fingerprint, TimePoint now)
+{
+    expire(now);
+    std::uint32_t counted = 0;
+    for (auto it = entries_.lower_bound({fingerprint, {}});
+         it != entries_.end() && it->first.fingerprint == fingerprint; ++it)
+        counted += it->second.crashes - it->second.cleared;
+    const std::uint32_t generation = generationOf(fingerprint).value_or(0) + 1;
+    forget(fingerprint);
+    makeRoom();
+    entries_[{fingerprint, self_}] = {region_, 0, 0, now, generation};
+    return counted;
+}
+
 void CrashSuspects::merge(std::span<const CrashCount> counts, TimePoint now)
 {
     expire(now);
     for (const CrashCount &count : counts) {
-        // The own crashes are known best here; others may only tell that they were cleared.
+        const auto generation = generationOf(count.fingerprint);
+        if (generation && count.generation < *generation)
+            continue; // cleared by an operator
+        const TimePoint lastCrash = now - std::max(count.age, Duration::zero());
         const Key key{count.fingerprint, count.counter};
         const auto found = entries_.find(key);
-        if (found == entries_.end()) {
-            if (count.counter == self_ || count.age >= settings_.keptFor - relayMargin)
+        if (found == entries_.end() || count.generation > *generation) {
+            if (count.age >= settings_.keptFor - relayMargin)
                 continue;
+            if (generation && count.generation > *generation)
+                forget(count.fingerprint);
             makeRoom();
             entries_[key] = {count.region, count.crashes, std::min(count.cleared, count.crashes),
-                             now - std::max(count.age, Duration::zero())};
+                             lastCrash, count.generation};
             continue;
         }
+        // The own crashes are known best here; others may only tell that they were cleared.
         Entry &entry = found->second;
         if (count.counter != self_ && count.crashes > entry.crashes) {
             entry.crashes = count.crashes;
-            entry.lastCrash =
-                    std::max(entry.lastCrash, now - std::max(count.age, Duration::zero()));
+            entry.lastCrash = std::max(entry.lastCrash, lastCrash);
         }
         entry.cleared = std::min(entry.crashes, std::max(entry.cleared, count.cleared));
     }
@@ -87,11 +138,59 @@
     for (const auto &[key, entry] : entries_) {
         if (const Duration age = now - entry.lastCrash; age < settings_.keptFor)
             result.push_back({key.counter, entry.region, key.fingerprint, entry.crashes,
-                              entry.cleared, age});
+                              entry.cleared, age, entry.generation});
     }
     return result;
 }
 
+std::vector<SuspectReport> CrashSuspects::report(TimePoint now) const
+{
+    std::vector<SuspectReport> reports;
+    std::map<std::string, std::vector<Counted>> byRegion;
+    const auto finish = [&] {
+        if (reports.empty())
+            return;
+        std::vector<Counted> all;
+        for (const auto &[region, list] : byRegion) {
+            all.insert(all.end(), list.begin(), list.end());
+            reports.back().regions.push_back(
+                    {region, sumOf(list), refusedFor(list, settings_.regionLimit)});
+        }
+        reports.back().crashes = sumOf(all);
+        reports.back().refusedFor = refusedFor(all, settings_.fleetLimit);
+        byRegion.clear();
+    };
+    for (const auto &[key, entry] : entries_) {
+        const Duration age = now - entry.lastCrash;
+        if (age >= settings_.keptFor)
+            continue;
+        if (reports.empty() || reports.back().fingerprint != key.fingerprint) {
+            finish();
+            reports.push_back(
+                    {.fingerprint = key.fingerprint, .clears = entry.generation, .age = age});
+        }
+        reports.back().age = std::min(reports.back().age, age);
+        if (entry.crashes > entry.cleared)
+            byRegion[entry.region].push_back(
+                    {settings_.keptFor - age, entry.crashes - entry.cleared});
+    }
+    finish();
+    return reports;
+}
+
+std::optional<std::uint32_t> CrashSuspects::generationOf(std::uint64_t fingerprint) const
+{
+    const auto found = entries_.lower_bound({fingerprint, {}});
+    if (found == entries_.end() || found->first.fingerprint != fingerprint)
+        return std::nullopt;
+    return found->second.generation;
+}
+
+void CrashSuspects::forget(std::uint64_t fingerprint)
+{
+    std::erase_if(entries_, [&](const auto &it) { return it.first.fingerprint == fingerprint; });
+}
+
 void CrashSuspects::expire(TimePoint now)
 {
     std::erase_if(entries_,
--- a/chestnutvane/process/crash_suspects.h
+++ b/chestnutvane/process/crash_suspects.h
@@ -4,11 +4,25 @@
 // instances shared in heartbeats. Counts are kept for each counting incarnation and merged by
 // maximum, so a repeated heartbeat changes nothing.
 //
+// An operator's clear raises the generation of a fingerprint. Each count carries the generation
+// that its counter knew, and only counts of the highest known generation count. So a count that
+// arrives after the clear changes nothing if its instance had not heard of the clear, in whatever
+// order the heartbeats arrive, and a crash on an instance that had heard of it counts.
+//
+// Example:
+//
+//   CrashSuspects suspects(incarnation, "taipei");
+//   suspects.charge(fingerprint, now);
+//   suspects.merge(heartbeat.crashCounts, now);
+//   if (suspects.verdict(fingerprint, now) == SuspectVerdict::Refused)
+//       refuse();
+//
 // Not thread-safe: the daemon calls it under the broker lock.
 #pragma once
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <tuple>
@@ -26,6 +40,28 @@
     Refused, // with Reason::CrashSuspect
 };
 
+// What an instance knows of one fingerprint, for operators.
+struct SuspectReport
+{
+    struct Region
+    {
+        std::string region;
+        std::uint32_t crashes = 0; // not cleared
+        std::optional<Duration> refusedFor; // until the region's limit no longer holds
+
+        friend bool operator==(const Region &, const Region &) = default;
+    };
+
+    std::uint64_t fingerprint = 0;
+    std::uint32_t crashes = 0; // in the fleet, not cleared
+    std::optional<Duration> refusedFor; // in all regions, until the fleet's limit no longer holds
+    std::vector<Region> regions; // with crashes that are not cleared, ordered by name
+    std::uint32_t clears = 0; // by operators
+    Duration age{}; // since the last crash or an operator's clear
+
+    friend bool operator==(const SuspectReport &, const SuspectReport &) = default;
+};
+
 // Crashes charged to a fingerprint by the brokers of one incarnation, as shared in heartbeats.
 struct CrashCount
 {
@@ -34,7 +70,8 @@
     std::uint64_t fingerprint = 0;
     std::uint32_t crashes = 0; // in total; goes up only
     std::uint32_t cleared = 0; // how many of the crashes a later success cleared; goes up only
-    Duration age{}; // since the last crash
+    Duration age{}; // since the last crash, or since the clear if there was none after it
+    std::uint32_t generation = 0; // an operator's clears of the fingerprint known to the counter
 
     friend bool operator==(const CrashCount &, const CrashCount &) = default;
 };
@@ -59,6 +96,11 @@
     // Clears all known crashes of a fingerprint: it ran alone and completed.
     void clear(std::uint64_t fingerprint, TimePoint now);
 
+    // Clears a fingerprint on the word of an operator, here and on all instances that hear of it,
+    // also crashes that other instances counted and that are not known here yet. Returns the
+    // crashes that were counted here until now.
+    std::uint32_t clearByOperator(std::uint64_t fingerprint, TimePoint now);
+
     // Takes the counts of a heartbeat. Repeated and late ones change nothing.
     void merge(std::span<const CrashCount> counts, TimePoint now);
 
@@ -67,6 +109,9 @@
     // All counts known and not too old, for the heartbeat.
     [[nodiscard]] std::vector<CrashCount> counts(TimePoint now) const;
 
+    // All fingerprints known and not too old, ordered by fingerprint.
+    [[nodiscard]] std::vector<SuspectReport> report(TimePoint now) const;
+
     // Drops counts older than keptFor.
     void expire(TimePoint now);
 
@@ -86,9 +131,13 @@
         std::string region;
         std::uint32_t crashes = 0;
         std::uint32_t cleared = 0;
-        TimePoint lastCrash;
+        TimePoint lastCrash; // or the clear, if there was no crash after it
+        std::uint32_t generation = 0;
     };
 
+    // The generation of a fingerprint, which all its entries have; nothing if it has no entry.
+    [[nodiscard]] std::optional<std::uint32_t> generationOf(std::uint64_t fingerprint) const;
+    void forget(std::uint64_t fingerprint);
     void makeRoom();
 
     HolderId self_;
--- a/chestnutvane/process/crash_suspects_test.cc
+++ b/chestnutvane/process/crash_suspects_test.cc
@@ -1,6 +1,12 @@
 #include "chestnutvane/process/crash_suspects.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <vector>
 
 namespace chestnutvane {
 namespace {
@@ -61,6 +67,236 @@
     EXPECT_TRUE(c.counts(TimePoint(std::chrono::minutes(12))).empty());
 }
 
+// Instances that hear of crashes and clears of one fingerprint in any order.
+class ClearSchedule
+{
+public:
+    static constexpr std::uint64_t fingerprint = 7;
+
+    ClearSchedule()
+    {
+        for (std::uint64_t i = 0; i < instanceCount; ++i)
+            nodes_.push_back({CrashSuspects({1, i}, i % 2 == 0 ? "south" : "north"), {}});
+    }
+
+    // What may happen in a step: only the first clear, or any clear and also suspects that complete
+    // alone.
+    enum class Mode { OneClear, AnyClear };
+
+    // One step: a crash, a clear, a heartbeat sent, a success, or any sent heartbeat that arrives
+    // (again). Each takes 1 ms.
+    void step(int kind, std::size_t index, std::size_t other, Mode mode)
+    {
+        now_ += Milliseconds(1);
+        Node &node = nodes_[index % instanceCount];
+        if (kind == 0) {
+            node.suspects.charge(fingerprint, now_);
+            charges_.push_back(node.heardClears);
+        } else if (kind == 1 && (mode == Mode::AnyClear || clears_ == 0)) {
+            clear(node);
+        } else if (kind == 3 && mode == Mode::AnyClear) {
+            node.suspects.clear(fingerprint, now_);
+        } else if (kind == 2) {
+            sent_.push_back({node.suspects.counts(now_), node.heardClears});
+        } else if (!sent_.empty()) {
+            deliver(sent_[other % sent_.size()], node);
+        }
+    }
+
+    void clearAt(std::size_t index) { clear(nodes_[index % instanceCount]); }
+
+    void chargeAt(std::size_t index)
+    {
+        now_ += Milliseconds(1);
+        nodes_[index % instanceCount].suspects.charge(fingerprint, now_);
+    }
+
+    // Every heartbeat sent so far arrives everywhere, late; then all instances hear all others.
+    void settle()
+    {
+        for (const Message &message : sent_) {
+            for (Node &node : nodes_)
+                deliver(message, node);
+        }
+        for (int round = 0; round < 2; ++round) {
+            for (const Node &from : nodes_) {
+                for (Node &to : nodes_)
+                    deliver({from.suspects.counts(now_), from.heardClears}, to);
+            }
+        }
+    }
+
+    // The crashes of the fingerprint that are counted, which must be the same on all instances.
+    std::uint32_t agreedCrashes()
+    {
+        std::set<std::uint32_t> views;
+        std::set<SuspectVerdict> southVerdicts;
+        for (std::size_t i = 0; i < instanceCount; ++i) {
+            std::uint32_t crashes = 0;
+            for (const CrashCount &count : nodes_[i].suspects.counts(now_))
+                crashes += count.crashes - count.cleared;
+            views.insert(crashes);
+            if (i % 2 == 0)
+                southVerdicts.insert(nodes_[i].suspects.verdict(fingerprint, now_));
+        }
+        RC_ASSERT(views.size() == 1U);
+        RC_ASSERT(southVerdicts.size() == 1U);
+        return *views.begin();
+    }
+
+    // Crashes on instances that had heard of the given number of clears.
+    std::uint32_t chargesAfter(std::size_t clears) const
+    {
+        return static_cast<std::uint32_t>(
+                std::count_if(charges_.begin(), charges_.end(),
+                              [&](const auto &heard) { return heard.size() >= clears; }));
+    }
+
+    std::size_t clears() const { return clears_; }
+
+private:
+    static constexpr std::size_t instanceCount = 4;
+
+    struct Node
+    {
+        CrashSuspects suspects;
+        std::set<std::size_t> heardClears; // by their number; kept apart from the tested class
+    };
+    struct Message
+    {
+        std::vector<CrashCount> counts;
+        std::set<std::size_t> heardClears;
+    };
+
+    void clear(Node &node)
+    {
+        now_ += Milliseconds(1);
+        node.suspects.clearByOperator(fingerprint, now_);
+        node.heardClears.insert(clears_++);
+    }
+
+    void deliver(const Message &message, Node &to)
+    {
+        to.suspects.merge(message.counts, now_);
+        to.heardClears.insert(message.heardClears.begin(), message.heardClears.end());
+    }
+
+    std::vector<Node> nodes_;
+    std::vector<Message> sent_;
+    std::vector<std::set<std::size_t>> charges_; // the clears that were heard of at each
+    std::size_t clears_ = 0;
+    TimePoint now_{std::chrono::hours(1)};
+};
+
+using Steps = std::vector<std::tuple<int, std::size_t, std::size_t>>;
+
+Steps generatedSteps()
+{
+    return *rc::gen::container<Steps>(rc::gen::tuple(rc::gen::inRange(0, 6),
+                                                     rc::gen::inRange<std::size_t>(0, 4),
+                                                     rc::gen::inRange<std::size_t>(0, 64)));
+}
+
+// Guards against a refusal that a count from another instance brings back after an operator's
+// clear, and against a clear that hides crashes counted by an instance that had heard of it.
+RC_GTEST_PROP(CrashSuspectsPropertyTest, OneClearBeatsLateCountsOnly, ())
+{
+    ClearSchedule schedule;
+    for (const auto &[kind, index, other] : generatedSteps())
+        schedule.step(kind, index, other, ClearSchedule::Mode::OneClear);
+    schedule.settle();
+    RC_ASSERT(schedule.agreedCrashes() == schedule.chargesAfter(schedule.clears()));
+}
+
+// Guards against instances that disagree for ever after several clears at different instances, a
+// last clear that does not end the refusal, and one after which crashes no longer count.
+RC_GTEST_PROP(CrashSuspectsPropertyTest, SeveralClearsConverge, ())
+{
+    ClearSchedule schedule;
+    for (const auto &[kind, index, other] : generatedSteps())
+        schedule.step(kind, index, other, ClearSchedule::Mode::AnyClear);
+    schedule.settle();
+    schedule.agreedCrashes();
+    schedule.clearAt(*rc::gen::inRange<std::size_t>(0, 4));
+    schedule.settle();
+    RC_ASSERT(schedule.agreedCrashes() == 0U);
+    schedule.chargeAt(*rc::gen::inRange<std::size_t>(0, 4));
+    schedule.settle();
+    RC_ASSERT(schedule.agreedCrashes() == 1U);
+}
+
+// Guards against a clear that instances keep alive by handing it back and forth, and that hides the
+// crashes of an instance which has forgotten it.
+TEST(CrashSuspectsTest, ClearEndsAfterTenMinutes)
+{
+    const TimePoint late(std::chrono::minutes(12));
+    CrashSuspects a({1, 1}, "south");
+    CrashSuspects b({1, 2}, "south");
+    a.charge(7, TimePoint());
+    EXPECT_EQ(a.clearByOperator(7, TimePoint()), 1U);
+    for (TimePoint now; now < late; now += Milliseconds(500)) {
+        b.merge(a.counts(now), now + Milliseconds(100));
+        a.merge(b.counts(now + Milliseconds(200)), now + Milliseconds(300));
+    }
+    EXPECT_TRUE(a.counts(late).empty());
+    EXPECT_TRUE(b.counts(late).empty());
+
+    // b ages the clear by the time of travel less, so it ends there later.
+    const TimePoint forgotten(std::chrono::minutes(10));
+    a.clearByOperator(7, TimePoint());
+    b.merge(a.counts(TimePoint()), TimePoint(Milliseconds(300)));
+    a.charge(7, forgotten);
+    a.merge(b.counts(forgotten), forgotten);
+    EXPECT_EQ(a.verdict(7, forgotten), SuspectVerdict::Alone);
+    b.merge(a.counts(forgotten + Milliseconds(400)), forgotten + Milliseconds(500));
+    EXPECT_EQ(b.verdict(7, forgotten + Milliseconds(500)), SuspectVerdict::Alone);
+}
+
+// Guards against a crash that an instance counted in the last minutes while it was cut off, and
+// that the others do not count once the clear has ended.
+TEST(CrashSuspectsTest, CrashLongAfterAnUnheardClearCounts)
+{
+    CrashSuspects a({1, 1}, "south");
+    CrashSuspects cutOff({1, 2}, "south");
+    a.clearByOperator(7, TimePoint());
+    cutOff.charge(7, TimePoint(std::chrono::minutes(5)));
+    const TimePoint now(std::chrono::minutes(10));
+    cutOff.merge(a.counts(now - Milliseconds(1)), now - Milliseconds(1));
+    a.merge(cutOff.counts(now), now);
+    EXPECT_EQ(a.verdict(7, now), SuspectVerdict::Alone);
+}
+
+// Guards against an operator who is shown another state than the one that brokers act on, or a
+// wrong end of a refusal.
+TEST(CrashSuspectsTest, ReportAgreesWithVerdict)
+{
+    using std::chrono::minutes;
+    CrashSuspects south({1, 1}, "south");
+    CrashSuspects north({1, 2}, "north");
+    south.charge(7, TimePoint());
+    south.charge(8, TimePoint());
+    north.charge(7, TimePoint(minutes(1)));
+    south.merge(north.counts(TimePoint(minutes(1))), TimePoint(minutes(1)));
+    const TimePoint now(minutes(2));
+    EXPECT_EQ(south.report(now)[0],
+              (SuspectReport{.fingerprint = 7,
+                             .crashes = 2,
+                             .regions = {{"north", 1, {}}, {"south", 1, {}}},
+                             .age = minutes(1)}));
+    south.charge(7, now);
+    EXPECT_EQ(south.verdict(7, now), SuspectVerdict::Refused);
+    auto seven = south.report(now)[0];
+    EXPECT_EQ(seven.crashes, 3U);
+    EXPECT_EQ(seven.refusedFor, Duration(minutes(9))); // when the crash in the north ends
+    EXPECT_EQ(seven.regions[1], (SuspectReport::Region{"south", 2, minutes(10)}));
+    EXPECT_EQ(south.verdict(7, now + minutes(10) - Milliseconds(1)), SuspectVerdict::Refused);
+    EXPECT_EQ(south.verdict(7, now + minutes(10)), SuspectVerdict::Clear);
+    EXPECT_EQ(south.clearByOperator(7, now), 3U);
+    seven = south.report(now)[0];
+    EXPECT_EQ(seven, (SuspectReport{.fingerprint = 7, .clears = 1}));
+    EXPECT_EQ(south.report(now)[1].crashes, 1U) << "another fingerprint";
+}
+
 // Guards against a table that grows with the number of different crashing requests.
 TEST(CrashSuspectsTest, TableIsBounded)
 {
--- a/chestnutvane/process/heartbeat_codec.cc
+++ b/chestnutvane/process/heartbeat_codec.cc
@@ -43,7 +43,7 @@
         const auto age = std::chrono::duration_cast<Milliseconds>(count.age);
         crashes.push_back(
                 Json::array({count.counter.high, count.counter.low, count.region, count.fingerprint,
-                             count.crashes, count.cleared, age.count()}));
+                             count.crashes, count.cleared, age.count(), count.generation}));
     }
     Json moves = Json::array();
     for (const MoveReport &move : record.moves) {
@@ -184,7 +184,7 @@
         headroom.age = unit.milliseconds();
     }
     for (const Json &entry : reader.list()) {
-        ArrayReader fields(entry, 7, "crash count");
+        ArrayReader fields(entry, 8, "crash count");
         auto &count = record.crashCounts.emplace_back();
         count.counter.high = fields.number<std::uint64_t>();
         count.counter.low = fields.number<std::uint64_t>();
@@ -193,6 +193,7 @@
         count.crashes = fields.number<std::uint32_t>();
         count.cleared = fields.number<std::uint32_t>();
         count.age = fields.milliseconds();
+        count.generation = fields.number<std::uint32_t>();
     }
     for (const Json &entry : reader.list()) {
         ArrayReader report(entry, 4, "move");
