--- a/chestnutvane/operator/command_line.cc
+++ b/chestnutvane/operator/command_line.cc
@@ -40,6 +40,8 @@
         {"change", "ID", "Tells what became of the change with this id."},
         {"service", "NAME", "The service that the caller asks for."},
         {"client", "IP", "The caller's address."},
+        {"clear", "FINGERPRINT",
+         "Clears the suspect: its crashes until now no longer count, on any instance."},
         {"help", "", "Prints this text."},
 };
 
@@ -92,6 +94,12 @@
              {"json", "help"},
              "Prints which region and instances a caller is given, and why.",
              "explain --service box-office --client 10.1.2.3 --server 127.0.0.11:8081"},
+            {CommandName::Suspects,
+             "",
+             {"server"},
+             {"clear", "json", "help"},
+             "Prints the requests that crashed targets, or with --clear ends the refusal of one.",
+             "suspects --clear 10216475169950329 --server 127.0.0.11:8081"},
     };
     return specs;
 }
@@ -289,6 +297,12 @@
         if (!command.base)
             return UsageError{UsageFault::BadValue, "--base", "a whole number"};
     }
+    if (raw.values.contains("clear")) {
+        command.clear = toNumber(text("clear"));
+        if (!command.clear)
+            return UsageError{UsageFault::BadValue, "--clear",
+                              "a fingerprint as printed by suspects, a whole number"};
+    }
     const auto timeout = raw.values.contains("timeout") ? toNumber(text("timeout"))
                                                         : std::optional(defaultTimeoutMs);
     if (!timeout || *timeout == 0 || *timeout > maxTimeoutMs)
--- a/chestnutvane/operator/command_line.h
+++ b/chestnutvane/operator/command_line.h
@@ -29,12 +29,14 @@
     Status,
     Drain,
     Explain,
+    Suspects,
 };
 
 inline constexpr EnumName<CommandName> commandNames[] = {
-        {CommandName::Check, "check"}, {CommandName::Diff, "diff"},
-        {CommandName::Apply, "apply"}, {CommandName::Status, "status"},
-        {CommandName::Drain, "drain"}, {CommandName::Explain, "explain"},
+        {CommandName::Check, "check"},       {CommandName::Diff, "diff"},
+        {CommandName::Apply, "apply"},       {CommandName::Status, "status"},
+        {CommandName::Drain, "drain"},       {CommandName::Explain, "explain"},
+        {CommandName::Suspects, "suspects"},
 };
 
 // The exit status of the tool.
@@ -64,6 +66,7 @@
     std::optional<std::uint64_t> base;
     std::string service;
     std::string client;
+    std::optional<std::uint64_t> clear; // fingerprint of a suspect
 };
 
 enum class UsageFault {
--- a/chestnutvane/operator/command_line_test.cc
+++ b/chestnutvane/operator/command_line_test.cc
@@ -48,7 +48,7 @@
     using enum UsageFault;
     const std::string at = "127.0.0.1:1";
     const std::vector<std::tuple<std::vector<std::string>, UsageFault, std::string>> cases{
-            {{}, UnknownCommand, "check, diff, apply, status, drain, explain"},
+            {{}, UnknownCommand, "check, diff, apply, status, drain, explain, suspects"},
             {{"aply", "f"}, UnknownCommand, "apply"},
             {{"--json", "check", "f"}, UnknownCommand, "check"},
             {{"check", "f", "--author", "Lin"}, UnknownFlag, "--json, --help"},
@@ -65,6 +65,7 @@
              BadValue,
              "from 1 to 600000"},
             {{"status", "--server", at, "--base", "-1"}, BadValue, "a whole number"},
+            {{"suspects", "--server", at, "--clear", "0x1f"}, BadValue, "a fingerprint"},
             {{"drain", "rack", "x", "--server", at}, BadValue, "target, zone, region"},
     };
     for (const auto &[words, fault, allowed] : cases) {
--- a/chestnutvane/operator/command_output.cc
+++ b/chestnutvane/operator/command_output.cc
@@ -2,6 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cmath>
+
 #include "chestnutvane/version/rule_diff.h"
 
 namespace chestnutvane {
@@ -101,6 +104,21 @@
     return text + (show(unit, "configured") == "false" ? ", not in the configuration\n" : "\n");
 }
 
+// "refused for 588 s more", or what else becomes of a request with the crashes of a row.
+std::string suspectStateText(const json &row, Colour colour)
+{
+    if (show(row, "refused") == "true")
+        return coloured(fmt::format("refused for {:.0f} s more",
+                                    std::ceil(realMember(row, "refused-for-ms") / 1000)),
+                        red, colour);
+    if (realMember(row, "crashes") == 0)
+        return "cleared";
+    const bool inPart =
+            std::any_of(listOf(row, "regions").begin(), listOf(row, "regions").end(),
+                        [](const json &region) { return show(region, "refused") == "true"; });
+    return inPart ? "refused in part, else alone on its target" : "runs alone on its target";
+}
+
 } // namespace
 } // namespace internal
 
@@ -171,10 +189,10 @@
                         show(status, "ready"), show(status, "isolated"), show(status, "leaving"),
                         show(status, "store-reachable"), show(status, "in-flight"));
     for (const auto &member : listOf(status, "members")) {
-        std::string brokers;
-        for (const auto &unit : listOf(member, "brokers"))
-            brokers += " " + (unit.is_string() ? unit.get<std::string>() : unit.dump());
         const auto state = show(member, "status");
+        std::string brokers; // the roles of a member that is gone are free or taken by others
+        for (const auto &unit : listOf(member, state == "gone" ? "" : "brokers"))
+            brokers += " " + (unit.is_string() ? unit.get<std::string>() : unit.dump());
         text += fmt::format("  {:<16} {:<10} {:<8} revision {:<6} {}{}\n", show(member, "id"),
                             show(member, "zone"),
                             internal::coloured(state,
@@ -186,8 +204,10 @@
     text += fmt::format("\nunits of the fleet, as known to {}:\n", show(status, "instance"));
     for (const auto &unit : listOf(status, "fleet-units"))
         text += internal::fleetUnitText(unit, colour);
-    text += "\nmore on the units whose broker is the answering instance:\n";
-    for (const auto &unit : listOf(status, "units"))
+    const auto &ownUnits = listOf(status, "units");
+    if (!ownUnits.empty())
+        text += "\nmore on the units whose broker is the answering instance:\n";
+    for (const auto &unit : ownUnits)
         text += fmt::format("  {}/{}: {} of {} slots in use, {} usable, {} queued, headroom {}{}\n",
                             show(unit, "service"), show(unit, "region"), show(unit, "in-use"),
                             show(unit, "slots"), show(unit, "effective-slots"),
@@ -232,4 +252,44 @@
     return text;
 }
 
+std::string suspectsText(const nlohmann::json &answer, Colour colour)
+{
+    using internal::listOf;
+    using internal::realMember;
+    using internal::show;
+    const auto &suspects = listOf(answer, "suspects");
+    auto text = fmt::format(
+            "{} suspect(s) known to {}; refused at {} crashes in a region or {} in all\n",
+            suspects.size(), show(answer, "instance"), show(answer, "region-limit"),
+            show(answer, "fleet-limit"));
+    for (const auto &suspect : suspects) {
+        text += fmt::format(
+                "  {:<20} {} crash(es) in all, {}; last news {:.0f} s ago, {} clear(s)\n",
+                show(suspect, "fingerprint"), show(suspect, "crashes"),
+                internal::suspectStateText(suspect, colour),
+                std::floor(realMember(suspect, "age-ms") / 1000), show(suspect, "clears"));
+        for (const auto &region : listOf(suspect, "regions"))
+            text += fmt::format("    {:<18} {} crash(es), {}\n", show(region, "region"),
+                                show(region, "crashes"),
+                                internal::suspectStateText(region, colour));
+    }
+    return text;
+}
+
+std::string clearedText(const nlohmann::json &answer)
+{
+    using internal::show;
+    auto text = fmt::format("cleared {} at {}: {} crash(es) known there no longer count\n"
+                            "the other instances hear of it by heartbeats, within seconds\n",
+                            show(answer, "fingerprint"), show(answer, "instance"),
+                            show(answer, "crashes"));
+    std::vector<std::string> silent;
+    for (const auto &id : internal::listOf(answer, "silent"))
+        silent.push_back(id.is_string() ? id.get<std::string>() : id.dump());
+    if (!silent.empty())
+        text += fmt::format("not heard now, told when they are back: {}\n",
+                            internal::joined(silent));
+    return text;
+}
+
 } // namespace chestnutvane
--- a/chestnutvane/operator/command_output.h
+++ b/chestnutvane/operator/command_output.h
@@ -37,9 +37,12 @@
 std::string changeText(const ChangeReport &report, const Change &change,
                        const std::string *baseRules, Colour colour);
 
-// The answers of GET /v1/status, /v1/change and /v1/explain.
+// The answers of GET /v1/status, /v1/change, /v1/explain and /v1/suspects, and of POST
+// /v1/suspects/clear.
 std::string statusText(const nlohmann::json &status, Colour colour);
 std::string changeStateText(const nlohmann::json &answer);
 std::string explainText(const nlohmann::json &answer);
+std::string suspectsText(const nlohmann::json &answer, Colour colour);
+std::string clearedText(const nlohmann::json &answer);
 
 } // namespace chestnutvane
--- a/chestnutvane/operator/commands.cc
+++ b/chestnutvane/operator/commands.cc
@@ -274,6 +274,36 @@
     return succeeded(command, body, explainText(body));
 }
 
+CommandResult clearSuspect(const Command &command, const CommandContext &context)
+{
+    const auto answer = context.client.post(
+            "/v1/suspects/clear", {{"fingerprint", std::to_string(*command.clear)}}, readTimeout);
+    if (!isOk(answer)) {
+        // A clear may be repeated, so the operator is only told that it may have been made.
+        const bool lost = error(answer).failure == CallFailure::AnswerLost;
+        return failed(command, lost ? ExitStatus::Undetermined : ExitStatus::Failed,
+                      std::string(enumName(callFailureNames, error(answer).failure)),
+                      error(answer).detail);
+    }
+    const auto &[status, body, server] = value(answer);
+    if (status != statusOk)
+        return failed(command, ExitStatus::Failed, textMember(body, "error"),
+                      fmt::format("{} answered with status {} {}", server, status,
+                                  textMember(body, "detail")));
+    return succeeded(command, body, clearedText(body));
+}
+
+CommandResult suspects(const Command &command, const CommandContext &context)
+{
+    if (command.clear)
+        return clearSuspect(command, context);
+    auto answer = read(command, context, "/v1/suspects");
+    if (auto *end = std::get_if<CommandResult>(&answer))
+        return std::move(*end);
+    const auto &body = std::get<json>(answer);
+    return succeeded(command, body, suspectsText(body, context.colour));
+}
+
 } // namespace
 } // namespace internal
 
@@ -292,6 +322,8 @@
         return internal::drain(command, context);
     case CommandName::Explain:
         return internal::explain(command, context);
+    case CommandName::Suspects:
+        return internal::suspects(command, context);
     }
     return {};
 }
--- a/chestnutvane/operator/commands_test.cc
+++ b/chestnutvane/operator/commands_test.cc
@@ -210,6 +210,26 @@
     EXPECT_EQ(error(removeDrain(others, zone)), EditFault::NotDrained);
 }
 
+// Guards against a lost answer to a clear that is reported as a failure or as a success.
+TEST(CommandsTest, ClearWithLostAnswerIsUndetermined)
+{
+    const Command clear{.name = CommandName::Suspects, .clear = 7};
+    Fake fake;
+    fake.applies = {Fake::failure(true)};
+    EXPECT_EQ(fake.run(clear).status, ExitStatus::Undetermined);
+    EXPECT_EQ(fake.sent.size(), 1U);
+    EXPECT_EQ(fake.sent.at(0)["fingerprint"], "7");
+    fake.applies = {Fake::failure(false)};
+    EXPECT_EQ(fake.run(clear).status, ExitStatus::Failed);
+    fake.applies = {Fake::answer({{"error", "bad-request"}}, 400)};
+    EXPECT_EQ(fake.run(clear).status, ExitStatus::Failed);
+    fake.applies = {Fake::answer({{"fingerprint", "7"}, {"crashes", 2}, {"silent", {"i2"}}})};
+    const auto done = fake.run(clear);
+    EXPECT_EQ(done.status, ExitStatus::Done);
+    EXPECT_NE(done.output.find("2 crash(es)"), std::string::npos) << done.output;
+    EXPECT_NE(done.output.find("i2"), std::string::npos) << done.output;
+}
+
 // Guards against a state of a change that ends with the wrong exit status.
 TEST(CommandsTest, StateOfChangeDecidesExitStatus)
 {
--- a/chestnutvane/operator/operator_loopback_test.cc
+++ b/chestnutvane/operator/operator_loopback_test.cc
@@ -269,6 +269,54 @@
     EXPECT_NE(text.find("no known broker"), std::string::npos) << text;
 }
 
+// Guards against a suspect that operators cannot see or clear by the fingerprint that they are
+// shown, and a clear that the counts of another instance undo.
+TEST_F(OperatorLoopbackTest, SuspectIsShownAndCleared)
+{
+    constexpr std::uint64_t fingerprint = 0xffffffffffffffffULL; // exact only as text
+    const std::vector<CrashCount> counts{{{9, 9}, "b", fingerprint, 2, 0, std::chrono::minutes(4)}};
+    brokers_.mergeCrashCounts(counts);
+    const Command list{.name = CommandName::Suspects};
+    const auto before = json::parse(run(list).output);
+    ASSERT_EQ(before["suspects"].size(), 1U);
+    const auto &suspect = before["suspects"][0];
+    EXPECT_EQ(suspect["fingerprint"], "18446744073709551615");
+    EXPECT_EQ(suspect["crashes"], 2);
+    EXPECT_EQ(suspect["refused"], false) << "the limit of the fleet is 3";
+    EXPECT_EQ(suspect["regions"][0]["region"], "b");
+    EXPECT_EQ(suspect["regions"][0]["refused"], true);
+    EXPECT_NEAR(suspect["regions"][0]["refused-for-ms"].get<double>(), 360'000, 5'000);
+    const auto text = suspectsText(before, Colour::Off);
+    EXPECT_NE(text.find("18446744073709551615"), std::string::npos) << text;
+    EXPECT_NE(text.find("2 crash(es), refused for 3"), std::string::npos) << text;
+
+    const auto cleared = run({.name = CommandName::Suspects, .clear = fingerprint});
+    EXPECT_EQ(cleared.status, ExitStatus::Done);
+    EXPECT_EQ(json::parse(cleared.output)["crashes"], 2);
+    brokers_.mergeCrashCounts(counts);
+    const auto after = json::parse(run(list).output)["suspects"];
+    ASSERT_EQ(after.size(), 1U);
+    EXPECT_EQ(after[0]["crashes"], 0);
+    EXPECT_EQ(after[0]["clears"], 1);
+}
+
+// Guards against a body that ends the process or clears another fingerprint.
+TEST_F(OperatorLoopbackTest, MalformedClearIsRefused)
+{
+    OperatorClient client({address_}, makeExchange(*http_));
+    const std::vector<json> bodies{json::object(),
+                                   json::array(),
+                                   {{"fingerprint", 7}},
+                                   {{"fingerprint", "7x"}},
+                                   {{"fingerprint", "-1"}}};
+    for (const auto &body : bodies) {
+        const auto answer = client.post("/v1/suspects/clear", body, Milliseconds(2000));
+        ASSERT_TRUE(isOk(answer)) << body;
+        EXPECT_EQ(value(answer).status, 400) << body;
+    }
+    EXPECT_TRUE(brokers_.suspects().suspects.empty());
+}
+
 // Guards against an instance that names only the first mistake, for tools that do not check.
 TEST_F(OperatorLoopbackTest, InstanceNamesEveryMistake)
 {
--- a/chestnutvane/process/broker_service.h
+++ b/chestnutvane/process/broker_service.h
@@ -60,6 +60,18 @@
     std::vector<CrashCount> crashCounts();
     void mergeCrashCounts(const std::vector<CrashCount> &counts);
 
+    // The suspects known to this instance, with its region; empty before a revision is in force.
+    struct SuspectList
+    {
+        std::string region;
+        std::vector<SuspectReport> suspects;
+    };
+    SuspectList suspects();
+
+    // Clears a suspect on the word of an operator. Heartbeats carry the clear to all instances.
+    // Returns the crashes that were counted here.
+    std::uint32_t clearSuspect(std::uint64_t fingerprint);
+
     // Gives up all roles and calls back when each was written or the store did not answer.
     void giveUpAll(std::function<void()> done);
 
--- a/chestnutvane/process/operator_service.cc
+++ b/chestnutvane/process/operator_service.cc
@@ -6,7 +6,7 @@
 #include <optional>
 
 #include "chestnutvane/connection/query_string.h"
-#include "chestnutvane/process/fleet_units.h"
+#include "chestnutvane/process/operator_rows.h"
 #include "chestnutvane/version/rule_parser.h"
 
 namespace chestnutvane {
@@ -34,7 +34,7 @@
     return {.status = status, .headers = {{"Content-Type", "text/plain"}}, .body = std::move(text)};
 }
 
-std::optional<std::uint64_t> toRevision(std::string_view text)
+std::optional<std::uint64_t> toNumber(std::string_view text)
 {
     std::uint64_t number = 0;
     const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
@@ -95,28 +95,6 @@
     return change;
 }
 
-// A unit of the fleet; members that are not known are null.
-json fleetUnitJson(const FleetUnit &unit)
-{
-    json row{{"service", unit.service}, {"region", unit.region},    {"configured", unit.configured},
-             {"broker", nullptr},       {"broker-status", nullptr}, {"epoch", nullptr},
-             {"free-slots", nullptr},   {"usable-slots", nullptr},  {"queued", nullptr},
-             {"headroom", nullptr},     {"report-age-ms", nullptr}};
-    if (unit.broker) {
-        row["broker"] = unit.broker->instance;
-        row["broker-status"] = enumName(memberStatusNames, unit.broker->status);
-        row["epoch"] = unit.broker->epoch;
-    }
-    if (unit.report) {
-        row["free-slots"] = unit.report->freeSlots;
-        row["usable-slots"] = unit.report->usableSlots;
-        row["queued"] = unit.report->queued;
-        row["headroom"] = unit.report->headroom;
-        row["report-age-ms"] = unit.report->age.count();
-    }
-    return row;
-}
-
 bool isNameLength(std::string_view text)
 {
     return !text.empty() && text.size() <= maxNameBytes;
@@ -151,6 +129,10 @@
         explain(request, respond);
     else if (request.path == "/v1/apply" && request.method == "POST")
         apply(request, std::move(respond));
+    else if (request.path == "/v1/suspects")
+        suspects(respond);
+    else if (request.path == "/v1/suspects/clear" && request.method == "POST")
+        clearSuspect(request, respond);
     else
         respond(internal::jsonResponse(internal::notFound, {{"error", "unknown-path"}}));
 }
@@ -221,7 +203,7 @@
         const auto now = Clock::now();
         for (const auto &unit :
              fleetUnits(version.get(), state.table.members(now), state.headroom, now))
-            body["fleet-units"].push_back(internal::fleetUnitJson(unit));
+            body["fleet-units"].push_back(fleetUnitJson(unit));
     });
     for (const auto &report : brokers_.reports())
         body["units"].push_back({{"service", report.service},
@@ -251,7 +233,7 @@
 {
     const auto id = queryValue(request.query, "id");
     const auto baseText = queryValue(request.query, "base");
-    const auto base = internal::toRevision(baseText);
+    const auto base = internal::toNumber(baseText);
     if (id.empty() || (!baseText.empty() && !base)) {
         respond(internal::jsonResponse(
                 internal::badRequest,
@@ -346,4 +328,44 @@
             });
 }
 
+void OperatorService::suspects(const Responder &respond)
+{
+    constexpr CrashSuspectSettings limits; // the broker service uses the defaults
+    const auto list = brokers_.suspects();
+    internal::json body{{"instance", instance_.settings.instanceId},
+                        {"region", list.region},
+                        {"region-limit", limits.regionLimit},
+                        {"fleet-limit", limits.fleetLimit},
+                        {"suspects", internal::json::array()}};
+    for (const auto &suspect : list.suspects)
+        body["suspects"].push_back(suspectJson(suspect));
+    respond(internal::jsonResponse(200, body));
+}
+
+void OperatorService::clearSuspect(const ServerRequest &request, const Responder &respond)
+{
+    const auto body = internal::json::parse(request.body, nullptr, false);
+    std::optional<std::uint64_t> fingerprint;
+    if (body.is_object() && body.contains("fingerprint") && body["fingerprint"].is_string())
+        fingerprint = internal::toNumber(body["fingerprint"].get_ref<const std::string &>());
+    if (!fingerprint) {
+        respond(internal::jsonResponse(
+                internal::badRequest,
+                {{"error", "bad-request"}, {"detail", "fingerprint must be a text of digits"}}));
+        return;
+    }
+    const auto crashes = brokers_.clearSuspect(*fingerprint);
+    internal::json answer{{"instance", instance_.settings.instanceId},
+                          {"fingerprint", std::to_string(*fingerprint)},
+                          {"crashes", crashes},
+                          {"silent", internal::json::array()}};
+    instance_.membership.use([&](MembershipState &state) {
+        for (const auto &member : state.table.members(Clock::now())) {
+            if (member.status == MemberStatus::Silent)
+                answer["silent"].push_back(member.record.id);
+        }
+    });
+    respond(internal::jsonResponse(200, answer));
+}
+
 } // namespace chestnutvane
--- a/chestnutvane/process/operator_service.h
+++ b/chestnutvane/process/operator_service.h
@@ -1,8 +1,9 @@
 // Serves operators: status, metrics, health, explain and changes of the configuration.
 //
 // Paths: GET /healthz, /readyz, /metrics, /v1/status, /v1/config, /v1/explain?service=S&client=IP,
-// /v1/change?id=ID&base=REVISION (base may be left out); POST /v1/apply with JSON {rules,
-// base-revision, change-id, author, repeated, timeout-ms} (the last two may be left out).
+// /v1/change?id=ID&base=REVISION (base may be left out), /v1/suspects; POST /v1/apply with JSON
+// {rules, base-revision, change-id, author, repeated, timeout-ms} (the last two may be left out),
+// /v1/suspects/clear with JSON {fingerprint}, a text of decimal digits.
 //
 // Thread-safe.
 #pragma once
@@ -31,6 +32,8 @@
     void change(const ServerRequest &request, Responder respond);
     void explain(const ServerRequest &request, const Responder &respond);
     void apply(const ServerRequest &request, Responder respond);
+    void suspects(const Responder &respond);
+    void clearSuspect(const ServerRequest &request, const Responder &respond);
     void metrics(const Responder &respond);
     bool ready();
 
