--- a/chestnutvane/process/heartbeat_codec.cc
+++ b/chestnutvane/process/heartbeat_codec.cc
@@ -43,7 +43,7 @@
         const auto age = std::chrono::duration_cast<Milliseconds>(count.age);
         crashes.push_back(
                 Json::array({count.counter.high, count.counter.low, count.region, count.fingerprint,
-                             count.crashes, count.cleared, age.count()}));
+                             count.crashes, count.cleared, age.count(), count.generation}));
     }
     Json moves = Json::array();
     for (const MoveReport &move : record.moves) {
@@ -185,7 +185,7 @@
 
 CrashCount crashCountFromJson(const Json &json)
 {
-    ArrayReader reader(json, 7, "crash count");
+    ArrayReader reader(json, 8, "crash count");
     CrashCount count;
     count.counter.high = reader.number<std::uint64_t>();
     count.counter.low = reader.number<std::uint64_t>();
@@ -194,6 +194,7 @@
     count.crashes = reader.number<std::uint32_t>();
     count.cleared = reader.number<std::uint32_t>();
     count.age = reader.milliseconds();
+    count.generation = reader.number<std::uint32_t>();
     return count;
 }
 
--- a/chestnutvane/process/operator_service.cc
+++ b/chestnutvane/process/operator_service.cc
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "chestnutvane/connection/query_string.h"
+#include "chestnutvane/process/operator_rows.h"
 #include "chestnutvane/version/rule_parser.h"
 
 namespace chestnutvane {
@@ -33,7 +34,7 @@
     return {.status = status, .headers = {{"Content-Type", "text/plain"}}, .body = std::move(text)};
 }
 
-std::optional<std::uint64_t> toRevision(std::string_view text)
+std::optional<std::uint64_t> toNumber(std::string_view text)
 {
     std::uint64_t number = 0;
     const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
@@ -128,6 +129,10 @@
         explain(request, respond);
     else if (request.path == "/v1/apply" && request.method == "POST")
         apply(request, std::move(respond));
+    else if (request.path == "/v1/suspects")
+        suspects(respond);
+    else if (request.path == "/v1/suspects/clear" && request.method == "POST")
+        clearSuspect(request, respond);
     else
         respond(internal::jsonResponse(internal::notFound, {{"error", "unknown-path"}}));
 }
@@ -167,7 +172,8 @@
             {"instance", instance_.settings.instanceId}, {"incarnation", instance_.incarnation},
             {"zone", instance_.settings.zone},           {"ready", ready()},
             {"in-flight", callers_.inFlight()},          {"members", internal::json::array()},
-            {"units", internal::json::array()}};
+            {"units", internal::json::array()},          {"fleet-units", internal::json::array()}};
+    const auto version = instance_.version();
     instance_.configuration.use([&](ConfigurationState &state) {
         body["revision"] = state.holder.head().revision;
         body["change-id"] = state.holder.head().changeId;
@@ -194,6 +200,10 @@
                                            {"queued", unit.queued}});
             body["members"].push_back(std::move(row));
         }
+        const auto now = Clock::now();
+        for (const auto &unit :
+             fleetUnits(version.get(), state.table.members(now), state.headroom, now))
+            body["fleet-units"].push_back(fleetUnitJson(unit));
     });
     for (const auto &report : brokers_.reports())
         body["units"].push_back({{"service", report.service},
@@ -223,7 +233,7 @@
 {
     const auto id = queryValue(request.query, "id");
     const auto baseText = queryValue(request.query, "base");
-    const auto base = internal::toRevision(baseText);
+    const auto base = internal::toNumber(baseText);
     if (id.empty() || (!baseText.empty() && !base)) {
         respond(internal::jsonResponse(
                 internal::badRequest,
@@ -318,4 +328,44 @@
             });
 }
 
+void OperatorService::suspects(const Responder &respond)
+{
+    constexpr CrashSuspectSettings limits; // the broker service uses the defaults
+    const auto list = brokers_.suspects();
+    internal::json body{{"instance", instance_.settings.instanceId},
+                        {"region", list.region},
+                        {"region-limit", limits.regionLimit},
+                        {"fleet-limit", limits.fleetLimit},
+                        {"suspects", internal::json::array()}};
+    for (const auto &suspect : list.suspects)
+        body["suspects"].push_back(suspectJson(suspect));
+    respond(internal::jsonResponse(200, body));
+}
+
+void OperatorService::clearSuspect(const ServerRequest &request, const Responder &respond)
+{
+    const auto body = internal::json::parse(request.body, nullptr, false);
+    std::optional<std::uint64_t> fingerprint;
+    if (body.is_object() && body.contains("fingerprint") && body["fingerprint"].is_string())
+        fingerprint = internal::toNumber(body["fingerprint"].get_ref<const std::string &>());
+    if (!fingerprint) {
+        respond(internal::jsonResponse(
+                internal::badRequest,
+                {{"error", "bad-request"}, {"detail", "fingerprint must be a text of digits"}}));
+        return;
+    }
+    const auto crashes = brokers_.clearSuspect(*fingerprint);
+    internal::json answer{{"instance", instance_.settings.instanceId},
+                          {"fingerprint", std::to_string(*fingerprint)},
+                          {"crashes", crashes},
+                          {"silent", internal::json::array()}};
+    instance_.membership.use([&](MembershipState &state) {
+        for (const auto &member : state.table.members(Clock::now())) {
+            if (member.status == MemberStatus::Silent)
+                answer["silent"].push_back(member.record.id);
+        }
+    });
+    respond(internal::jsonResponse(200, answer));
+}
+
 } // namespace chestnutvane
