Test a region whose instances are all paused past their leases

Cause: the existing tests pause one instance; then another one of its region takes the roles over, and nothing showed what a region does that wakes with old grants and keys and no successor.

Change: RegionFaultTest.PausedRegionRunsNothingTwice stops i1 and i2 for 8 s under views, orders of which a third time out while they run, and four reports of 11 s that are on targets of north across the pause. Orders are judged by a second run, a wrong not-run and a wrong ran, slots by the records of the targets.

--- a/testing/region_fault_test.cc
+++ b/testing/region_fault_test.cc
@@ -1,8 +1,10 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <csignal>
 #include <iostream>
 #include <thread>
+#include <vector>
 
 #include "testing/fault_load.h"
 
@@ -171,5 +173,95 @@
     EXPECT_EQ(late, 0);
 }
 
+// Guards against a region whose instances all wake after their leases have lapsed and then send
+// what they held: at-most-once requests that their callers have sent again, and requests under
+// grants that have ended.
+TEST(RegionFaultTest, PausedRegionRunsNothingTwice)
+{
+    FaultWorld world(85);
+    ASSERT_TRUE(world.start()) << world.problem();
+    auto &deployment = world.deployment();
+    Load views(deployment,
+               {.query = "work-ms=40",
+                .maxSends = 4,
+                .sendTimeout = Milliseconds(500),
+                .threads = 10,
+                .prefix = "v"});
+    sleep_for(Milliseconds(1500));
+    // Work that is on targets of north from before the pause until after the wake-up, when the role
+    // of the broker is taken anew.
+    std::atomic<int> reportsRan{0};
+    std::vector<std::thread> reports;
+    reports.reserve(4);
+    for (int i = 0; i < 4; ++i)
+        reports.emplace_back([&, i] {
+            const auto answer =
+                    sendTo(deployment, deployment.callerAddress(i % 2 == 0 ? "i1" : "i2"),
+                           "/reports?work-ms=11000&tag=r-" + std::to_string(i),
+                           {{"Vane-Client", "10.0.0.1"}}, // a client of north
+                           Milliseconds(21'000));
+            reportsRan += isOk(answer) && value(answer).status == 200 ? 1 : 0;
+        });
+    sleep_for(Milliseconds(200)); // before the orders, which would take the slots first
+    // A third of the sends time out while the target works, so that keys come again in progress.
+    Load orders(deployment,
+                {.path = "/orders",
+                 .query = "work-ms=40",
+                 .atMostOnce = true,
+                 .maxSends = 4,
+                 .sendTimeout = Milliseconds(45),
+                 .threads = 10,
+                 .prefix = "o"});
+    sleep_for(Milliseconds(500));
+    for (const auto *id : {"i1", "i2"})
+        EXPECT_TRUE(deployment.sendSignal(id, SIGSTOP)) << id;
+    sleep_for(Milliseconds(8000)); // leases last 5 s
+    const auto wokenAt = Clock::now();
+    for (const auto *id : {"i1", "i2"})
+        EXPECT_TRUE(deployment.sendSignal(id, SIGCONT)) << id;
+    sleep_for(Milliseconds(3500));
+    for (auto &report : reports)
+        report.join();
+    const auto viewCalls = views.stop();
+    const auto orderCalls = orders.stop();
+
+    const auto runs = world.runsByTag();
+    int wrongNotRun = 0;
+    int wrongRan = 0;
+    int sentAgain = 0;
+    for (const auto &call : orderCalls) {
+        const bool hasRun = runs.contains(call.tag);
+        wrongNotRun += call.outcome == "not-run" && hasRun ? 1 : 0;
+        wrongRan += call.outcome == "ran" && !hasRun ? 1 : 0;
+        sentAgain += call.sends > 1 ? 1 : 0;
+    }
+    std::uint64_t above = 0;
+    int mostRunning = 0;
+    for (const auto &record : deployment.records()) {
+        above += record.aboveSlots;
+        mostRunning = std::max(mostRunning, record.mostRunning);
+    }
+    const auto lines = world.targetLines();
+    const auto northRuns = countNorthRunsSince(lines, wokenAt);
+    const auto northReports = std::count_if(lines.begin(), lines.end(), [](const TargetLine &line) {
+        return isNorth(line) && line.tag.starts_with("r-");
+    });
+    std::cout << orderCalls.size() << " orders, " << sentAgain << " sent again, "
+              << world.countRepeatedRuns("o-") << " ran twice; " << above << " above slots; "
+              << northRuns << " runs in north after the wake-up, " << reportsRan
+              << " of 4 reports ran, " << northReports << " began in north\nviews:\n"
+              << summary(viewCalls) << "orders:\n"
+              << summary(orderCalls);
+    EXPECT_EQ(world.countRepeatedRuns("o-"), 0);
+    EXPECT_EQ(wrongNotRun, 0);
+    EXPECT_EQ(wrongRan, 0);
+    EXPECT_EQ(above, 0U);
+    EXPECT_EQ(mostRunning, 3) << "the load never filled a target";
+    EXPECT_GT(northReports, 0) << "no work outlasted the pause";
+    EXPECT_GT(sentAgain, 10) << "the pause met no order";
+    EXPECT_GT(northRuns, 0) << "north does not serve again";
+    EXPECT_GT(runs.size(), 500U) << "the load did not run";
+}
+
 } // namespace
 } // namespace chestnutvane
