--- a/chestnutvane/operator/operator_loopback_test.cc
+++ b/chestnutvane/operator/operator_loopback_test.cc
@@ -268,7 +268,7 @@
 {
     constexpr std::uint64_t fingerprint = 0xffffffffffffffffULL; // exact only as text
     const std::vector<CrashCount> counts{{{9, 9}, "b", fingerprint, 2, 0, std::chrono::minutes(4)}};
-    brokers_.mergeCrashCounts(counts);
+    services_.brokers.mergeCrashCounts(counts);
     const Command list{.name = CommandName::Suspects};
     const auto before = json::parse(run(list).output);
     ASSERT_EQ(before["suspects"].size(), 1U);
@@ -286,7 +286,7 @@
     const auto cleared = run({.name = CommandName::Suspects, .clear = fingerprint});
     EXPECT_EQ(cleared.status, ExitStatus::Done);
     EXPECT_EQ(json::parse(cleared.output)["crashes"], 2);
-    brokers_.mergeCrashCounts(counts);
+    services_.brokers.mergeCrashCounts(counts);
     const auto after = json::parse(run(list).output)["suspects"];
     ASSERT_EQ(after.size(), 1U);
     EXPECT_EQ(after[0]["crashes"], 0);
@@ -307,7 +307,7 @@
         ASSERT_TRUE(isOk(answer)) << body;
         EXPECT_EQ(value(answer).status, 400) << body;
     }
-    EXPECT_TRUE(brokers_.suspects().suspects.empty());
+    EXPECT_TRUE(services_.brokers.suspects().suspects.empty());
 }
 
 // Guards against an instance that names only the first mistake, for tools that do not check.
