--- a/chestnutvane/request/fallback_region_test.cc
+++ b/chestnutvane/request/fallback_region_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cmath>
 #include <vector>
 
 namespace chestnutvane {
@@ -23,7 +24,7 @@
 {
     std::vector<std::size_t> lots;
     for (std::size_t i = 0; i < regions.size(); ++i) {
-        const auto count = static_cast<int>(regions[i].headroom * regions[i].slots * 10 + 0.5);
+        const auto count = std::lround(regions[i].headroom * regions[i].slots * 10);
         const bool roomy = regions[i].headroom >= minFallbackHeadroom && regions[i].linkShare > 0;
         lots.insert(lots.end(), static_cast<std::size_t>(roomy ? count : 0), i);
     }
