Drop the header Vane-Client from the callers of the tests

Cause: test callers sent a header that no program reads; a comment in region_fault_test took it for the choice of a region.

Ruled out: reading it in the daemon, which would let a caller choose the address it is steered by.

--- a/testing/caller_standin.cc
+++ b/testing/caller_standin.cc
@@ -244,7 +244,7 @@
                          .url = fmt::format("http://{}/s/{}{}?tag={}&work-ms={}&size={}",
                                             entry.address, load.service, load.path, request->tag,
                                             request->workMs, load.answerBytes),
-                         .headers = {{"Vane-Client", request->client}},
+                         .headers = {},
                          .body = request->body,
                          .timeout = sendTimeout};
         if (load.atMostOnce) {
--- a/testing/fault_load.cc
+++ b/testing/fault_load.cc
@@ -188,7 +188,7 @@
         return record;
     }
     const auto first = caller.random();
-    std::vector<HttpHeader> headers{{"Vane-Client", caller.client}};
+    std::vector<HttpHeader> headers;
     if (options_.atMostOnce) {
         const auto &owner = caller.entries[first % caller.entries.size()];
         headers.push_back({"Vane-Key",
--- a/testing/region_fault_test.cc
+++ b/testing/region_fault_test.cc
@@ -195,11 +195,9 @@
     reports.reserve(4);
     for (int i = 0; i < 4; ++i)
         reports.emplace_back([&, i] {
-            const auto answer =
-                    sendTo(deployment, deployment.callerAddress(i % 2 == 0 ? "i1" : "i2"),
-                           "/reports?work-ms=11000&tag=r-" + std::to_string(i),
-                           {{"Vane-Client", "10.0.0.1"}}, // a client of north
-                           Milliseconds(21'000));
+            const auto answer = sendTo(
+                    deployment, deployment.callerAddress(i % 2 == 0 ? "i1" : "i2"),
+                    "/reports?work-ms=11000&tag=r-" + std::to_string(i), {}, Milliseconds(21'000));
             reportsRan += isOk(answer) && value(answer).status == 200 ? 1 : 0;
         });
     sleep_for(Milliseconds(200)); // before the orders, which would take the slots first
