Share the set-up of a rebuilding broker between two tests

Cause: a test of today repeated nine lines of the one before it.

Change: makeRebuildingBroker(). Ruled out: a fixture, because one of the tests needs no member of it.

--- a/chestnutvane/process/slot_broker_test.cc
+++ b/chestnutvane/process/slot_broker_test.cc
@@ -197,17 +197,26 @@
     EXPECT_EQ(release(granted, GrantResult::ConnectionLost).size(), 1U); // noticed later
 }
 
-// Guards against a new broker that waits for a dead holder with slots that are known to be free.
-TEST(SlotBrokerRebuildTest, SlotsGivenBackByReportingHolderAreGranted)
+// A new broker of one target with two slots that asks the given holders.
+SlotBroker makeRebuildingBroker(const std::vector<HolderId> &holders, TimePoint now)
 {
     BrokerEffects effects;
-    const TimePoint now;
-    const HolderId dead{1, 9};
     SlotBroker broker(2, BrokerSettings{.longestGrant = Milliseconds(3000), .warmStart = true});
     broker.setAuthority(TimePoint::max());
     const std::vector<BrokerTarget> targets{{1, 2, false, false}};
     broker.setTargets(targets, now, 0, effects);
-    broker.startRebuild(std::vector<HolderId>{holderA, dead}, now, 0, effects);
+    broker.startRebuild(holders, now, 0, effects);
+    EXPECT_TRUE(effects.empty());
+    return broker;
+}
+
+// Guards against a new broker that waits for a dead holder with slots that are known to be free.
+TEST(SlotBrokerRebuildTest, SlotsGivenBackByReportingHolderAreGranted)
+{
+    BrokerEffects effects;
+    const TimePoint now;
+    const HolderId dead{1, 9};
+    auto broker = makeRebuildingBroker({holderA, dead}, now);
     broker.holderGone(dead, now, 0, effects);
     const GrantsHeld list{.holder = holderA,
                           .number = 1,
@@ -237,11 +246,7 @@
     BrokerEffects effects;
     const TimePoint now;
     const HolderId dead{1, 9};
-    SlotBroker broker(2, BrokerSettings{.longestGrant = Milliseconds(3000), .warmStart = true});
-    broker.setAuthority(TimePoint::max());
-    const std::vector<BrokerTarget> targets{{1, 2, false, false}};
-    broker.setTargets(targets, now, 0, effects);
-    broker.startRebuild(std::vector<HolderId>{dead}, now, 0, effects);
+    auto broker = makeRebuildingBroker({dead}, now);
     GrantRequest request{.holder = holderA,
                          .sequence = 1,
                          .queueLimit = Milliseconds(500),
