Read link rates of a heartbeat like its other lists

Cause: the merge left the link rates as the one list that recordFromJson reads in its own loop.

Change: linkRateFromJson() with listFromJson(). Ruled out: nothing else was considered.

--- a/chestnutvane/process/heartbeat_codec.cc
+++ b/chestnutvane/process/heartbeat_codec.cc
@@ -209,6 +209,16 @@
     return move;
 }
 
+LinkRate linkRateFromJson(const Json &json)
+{
+    ArrayReader reader(json, 3, "link rate");
+    LinkRate rate;
+    rate.from = reader.text();
+    rate.to = reader.text();
+    rate.kbps = reader.number<std::uint32_t>();
+    return rate;
+}
+
 MemberRecord recordFromJson(const Json &json)
 {
     ArrayReader reader(json, 18, "record");
@@ -235,13 +245,7 @@
     record.storeContactAge = reader.optionalAge();
     record.load = reader.real();
     record.keyWindow = reader.number<std::uint64_t>();
-    for (const Json &entry : reader.list()) {
-        ArrayReader rate(entry, 3, "link rate");
-        auto &link = record.linkRates.emplace_back();
-        link.from = rate.text();
-        link.to = rate.text();
-        link.kbps = rate.number<std::uint32_t>();
-    }
+    record.linkRates = listFromJson(reader.list(), linkRateFromJson);
     return record;
 }
 
