--- a/chestnutvane/request/request_flow_test.cc
+++ b/chestnutvane/request/request_flow_test.cc
@@ -320,33 +320,34 @@
     EXPECT_TRUE(process.allReleasedOnce());
 }
 
-// Guards against a refusal while another region could serve.
-TEST(RequestFlowTest, TriesTheNextRegion)
+// Refuses a request in its own region for the reason and then in the fallback region for lack of a
+// target. Returns what the caller is told.
+FlowResult refuseInBothRegions(Reason ownReason, bool roomElsewhere)
 {
     FakeProcess process(Repeat::AtMostOnce);
+    process.roomElsewhere = roomElsewhere;
     process.startFlow();
+    process.refuse(ownReason);
+    EXPECT_EQ(process.asks.size(), 1U);
+    EXPECT_EQ(process.asks.at(0).first.region, "far");
     process.refuse(Reason::NoTarget);
-    ASSERT_EQ(process.asks.size(), 1U);
-    EXPECT_EQ(process.asks[0].first.region, "far");
-    process.refuse(Reason::NoTarget);
-    ASSERT_EQ(process.results.size(), 1U);
-    EXPECT_EQ(process.results[0].outcome, Outcome::NotRun);
+    EXPECT_EQ(process.results.size(), 1U);
+    return process.results.at(0);
+}
+
+// Guards against a refusal while another region could serve.
+TEST(RequestFlowTest, TriesTheNextRegion)
+{
+    EXPECT_EQ(refuseInBothRegions(Reason::NoTarget, false).outcome, Outcome::NotRun);
 }
 
 // Guards against a refusal while another region has room, and against the reason of the fallback
 // hiding the one of the caller's own region.
 TEST(RequestFlowTest, OverloadedRequestGoesWhereThereIsRoom)
 {
-    FakeProcess process(Repeat::AtMostOnce);
-    process.roomElsewhere = true;
-    process.startFlow();
-    process.refuse(Reason::Overloaded);
-    ASSERT_EQ(process.asks.size(), 1U);
-    EXPECT_EQ(process.asks[0].first.region, "far");
-    process.refuse(Reason::NoTarget);
-    ASSERT_EQ(process.results.size(), 1U);
-    EXPECT_EQ(process.results[0].outcome, Outcome::NotRun);
-    EXPECT_EQ(process.results[0].reason, Reason::Overloaded);
+    const FlowResult result = refuseInBothRegions(Reason::Overloaded, true);
+    EXPECT_EQ(result.outcome, Outcome::NotRun);
+    EXPECT_EQ(result.reason, Reason::Overloaded);
 }
 
 // Guards against slots and exchanges held for a caller that went away, and against "not-run" for a
