--- a/chestnutvane/connection/caller_connection.cc
+++ b/chestnutvane/connection/caller_connection.cc
@@ -43,7 +43,7 @@
     };
 
     void read();
-    void onRead(const Error &failure, std::size_t bytes);
+    void onReadable(Error failure);
     void consume();
     void newParser();
     void refuse(http::status status);
@@ -163,6 +163,7 @@
 {
     Error failure; // an option that cannot be set only costs speed
     socket_.set_option(Tcp::no_delay(true), failure);
+    socket_.non_blocking(true, failure);
     if (const auto remote = socket_.remote_endpoint(failure); !failure)
         peer_ = remote.address().to_string() + ":" + std::to_string(remote.port());
     newParser();
@@ -188,17 +189,23 @@
         && buffer_.size() >= maxPipelinedBytes)
         return;
     reading_ = true;
-    socket_.async_read_some(buffer_.prepare(readChunkBytes),
-                            [self = shared_from_this()](const Error &failure, std::size_t bytes) {
-                                self->reading_ = false;
-                                self->onRead(failure, bytes);
-                            });
+    // The buffer may be consumed while the wait is outstanding, so its memory is not given away.
+    socket_.async_wait(Tcp::socket::wait_read,
+                       [self = shared_from_this()](const Error &failure) {
+                           self->reading_ = false;
+                           self->onReadable(failure);
+                       });
 }
 
-void Connection::onRead(const Error &failure, std::size_t bytes)
+void Connection::onReadable(Error failure)
 {
     if (state_ == State::Closed)
         return;
+    std::size_t bytes = 0;
+    if (!failure)
+        bytes = socket_.read_some(buffer_.prepare(readChunkBytes), failure);
+    if (failure == net::error::would_block || failure == net::error::try_again)
+        return read();
     if (failure) {
         callerClosed_ = true;
         if (state_ == State::Working) {
