Take new targets into use, and do not refuse on assumed run times

Requests on routes that had just been added were refused because their run time was assumed to be their aim and their deadline is short; now a free slot decides until a run has been measured. A new target that no request reached gets the next one. Instances are listed with stale reads, as reports tell who lives.

--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -170,8 +170,11 @@
 void Gateway::noteWarm(const std::vector<WarmNote> &notes)
 {
     for (const auto &[hash, object] : notes) {
-        if (const auto target = registry_.findByHash(hash))
-            target->warm.touch(object, settings_.warmObjects);
+        const auto target = registry_.findByHash(hash);
+        if (!target)
+            continue;
+        target->used = true;
+        target->warm.touch(object, settings_.warmObjects);
     }
 }
 
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -76,6 +76,7 @@
     pending->sentWarm = candidate.warm;
     pending->sentWork = work;
     pending->tried.push_back(target->hash);
+    target->used = true;
     ++target->inFlight;
     if (target->coldUntil > now) {
         constexpr std::chrono::seconds paceWindow{1};
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -111,6 +111,7 @@
         if (cold && !candidate.ownRegion)
             continue; // the pace of a cold target is shared by the instances of its region
         candidate.warm = pending->object != 0 && target.warm.contains(pending->object);
+        candidate.unused = !target.used;
         candidate.slots = target.entry.slots;
         candidate.load = loads[i];
         candidate.ahead = target.planned;
--- a/chestnutvane/process/gateway/placement.cc
+++ b/chestnutvane/process/gateway/placement.cc
@@ -49,6 +49,8 @@
             score += Seconds(settings.otherRegion).count();
         if (expected > limits.aimLeft)
             score += Seconds(settings.lateness).count();
+        if (candidate.unused && candidate.ownRegion)
+            score -= Seconds(work.cold).count() * candidate.slowness;
         if (!candidate.mayTake)
             score += Seconds(work.mean).count();
         if (score >= bestScore)
@@ -59,7 +61,10 @@
         best.action = hasFreeSlot(candidate) && candidate.mayTake ? PlacementAction::Send
                                                                   : PlacementAction::Wait;
     }
-    if (best.expected > toDuration(Seconds(limits.limitLeft) * settings.limitShare))
+    const bool tooLate =
+            best.expected > toDuration(Seconds(limits.limitLeft) * settings.limitShare);
+    const bool known = work.measured || best.action == PlacementAction::Wait;
+    if (tooLate && (known || limits.limitLeft <= Duration{0}))
         best.action = PlacementAction::Refuse;
     return best;
 }
--- a/chestnutvane/process/gateway/placement.h
+++ b/chestnutvane/process/gateway/placement.h
@@ -35,6 +35,7 @@
     double failureRate = 0; // 0 to 1
     Duration roundTrip{0};
     double rank = 0; // stable order of the targets for the object, 0 to 1, the smallest first
+    bool unused = false; // new, and not known to have served a request
     bool mayTake = true; // false: pace or trial limits forbid a request right now
 };
 
@@ -44,6 +45,7 @@
     Duration warm{0};
     Duration cold{0};
     Duration mean{0}; // of the requests that hold the slots
+    bool measured = true; // false: assumed, as no request of the route has been answered yet
 };
 
 struct PlacementLimits
@@ -88,7 +90,10 @@
 // Returns the time until the answer if the request were given to the candidate now.
 Duration expectedAnswer(const Candidate &candidate, const WorkEstimate &work);
 
-// Chooses among the candidates. Without any candidate the request is refused.
+// Chooses among the candidates. Without any candidate the request is refused. A target of the own
+// region that is not known to have served a request gets the next one, whatever its run time, so
+// that a new target is taken into use. An assumed run time is no reason to refuse a request for
+// which a slot is free.
 Placement place(std::span<const Candidate> candidates, const WorkEstimate &work,
                 const PlacementLimits &limits, const PlacementSettings &settings);
 
--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -295,7 +295,8 @@
 
 void StoreFeed::readInstances()
 {
-    store_.list(format_.instancePrefix,
+    // Reports between instances tell who lives; the list only makes new ones known.
+    store_.listStale(format_.instancePrefix,
                 posted<WatchResult>(Loop::Instances, [this](const WatchResult &result) {
                     std::vector<PeerIdentity> instances;
                     for (const StoreEntry &entry : result.entries) {
--- a/chestnutvane/process/gateway/target_registry.cc
+++ b/chestnutvane/process/gateway/target_registry.cc
@@ -22,6 +22,7 @@
     target.failureRate = 0;
     target.slowness = 1;
     target.coldUntil = {};
+    target.used = false;
 }
 
 } // namespace
--- a/chestnutvane/process/gateway/target_registry.h
+++ b/chestnutvane/process/gateway/target_registry.h
@@ -66,6 +66,7 @@
     bool removed = false; // no longer registered; nothing new is sent to it
     WarmObjects warm;
     int inFlight = 0; // attempts of this instance
+    bool used = false; // a request was sent to this start of it, by any instance
     int planned = 0; // waiting requests of this instance that are meant for it
     TimePoint avoidedUntil; // after failures; one request at a time tries it afterwards
     int failuresInRow = 0;
--- a/chestnutvane/process/gateway/work_times.cc
+++ b/chestnutvane/process/gateway/work_times.cc
@@ -34,8 +34,10 @@
 {
     double cold = Seconds(aim).count();
     double warm = cold * assumedWarmShare;
+    bool measured = false;
     if (const auto found = routes_.find(route); found != routes_.end()) {
         const auto &times = found->second;
+        measured = true;
         if (times.cold.runs > 0)
             cold = times.cold.seconds;
         else if (times.warm.runs > 0)
@@ -48,7 +50,7 @@
     const auto duration = [](double seconds) {
         return std::chrono::duration_cast<Duration>(Seconds(seconds));
     };
-    return {duration(warm), duration(cold), duration(mean)};
+    return {duration(warm), duration(cold), duration(mean), measured};
 }
 
 } // namespace chestnutvane
--- a/chestnutvane/process/http_store.cc
+++ b/chestnutvane/process/http_store.cc
@@ -210,6 +210,7 @@
         sendRead<WatchResult>(*context, "/v1/list?prefix=" + urlEncode(prefix), Milliseconds{0},
                               readEntries, std::move(callback));
     };
+    store.listStale = store.list;
     store.watch = [context](const std::string &prefix, std::uint64_t afterVersion,
                             Milliseconds maxWait, auto callback) {
         ++context->counters.watches;
--- a/chestnutvane/process/store.h
+++ b/chestnutvane/process/store.h
@@ -80,6 +80,11 @@
     std::function<void(std::string prefix, std::function<void(Result<WatchResult, StoreError>)>)>
             list;
 
+    // Like list, but what it yields may be some seconds old, at a lower price. An adapter whose
+    // service has no such read fills in list. Errors: Unavailable, BadAnswer.
+    std::function<void(std::string prefix, std::function<void(Result<WatchResult, StoreError>)>)>
+            listStale;
+
     // Writes or removes one key; yields its new version. Errors: all.
     std::function<void(CompareAndSwap, std::function<void(Result<std::uint64_t, StoreError>)>)>
             compareAndSwap;
