Keep the reports of all instances

FleetView::merge() moved a report before it read its id, so all reports were kept under one empty id and each instance knew one other at a time. A test with two instances failed before.

--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -235,7 +235,12 @@
         if (!needsBudget
             || retryWindow(pending->service).take(now, fleet_.peers().size() + 1)) {
             logEvent(Event::RequestRetried,
-                     {{"request", pending->id}, {"reason", reason}, {"runs", pending->runs}});
+                     {{"request", pending->id},
+                      {"reason", reason},
+                      {"runs", pending->runs},
+                      {"window-requests", retryWindow(pending->service).requests(now)},
+                      {"window-retries", retryWindow(pending->service).retries(now)},
+                      {"instances", fleet_.peers().size() + 1}});
             enqueue(pending);
             return schedulePump(pending->service);
         }
--- a/chestnutvane/process/gateway/load_report.cc
+++ b/chestnutvane/process/gateway/load_report.cc
@@ -78,7 +78,8 @@
     if (found != peers_.end() && found->second.report.sender.incarnation == report.sender.incarnation
         && found->second.report.sequence >= report.sequence)
         return false;
-    peers_[report.sender.id] = Peer{std::move(report), now};
+    const std::string id = report.sender.id;
+    peers_[id] = Peer{std::move(report), now};
     return true;
 }
 
--- /dev/null
+++ b/chestnutvane/process/gateway/load_report_test.cc
@@ -0,0 +1,90 @@
+#include "chestnutvane/process/gateway/load_report.h"
+
+#include <gtest/gtest.h>
+
+namespace chestnutvane {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint start = TimePoint{} + 1h;
+
+LoadReport report(std::string id, std::uint64_t sequence, std::map<std::uint64_t, int> inFlight)
+{
+    LoadReport result;
+    result.sender = {std::move(id), 7, "tpe-a", "10.0.0.1:80", "10.0.0.1:7660"};
+    result.state = PeerState::Serving;
+    result.sequence = sequence;
+    result.revision = 3;
+    result.inFlight = std::move(inFlight);
+    result.queued = {{5, 2}};
+    result.warm = {{1, 100}, {2, 200}};
+    return result;
+}
+
+// Guards against a field that is written but not read, or the other way round.
+TEST(LoadReportTest, ADecodedReportEqualsTheEncodedOne)
+{
+    const LoadReport sent = report("a", 9, {{1, 2}, {~0ULL, 1}});
+    const auto received = decodeReport(encodeReport(sent));
+    ASSERT_TRUE(isOk(received));
+    EXPECT_EQ(value(received), sent);
+}
+
+// Guards against an exception or a report made up from other bytes.
+TEST(LoadReportTest, OtherBytesAreRefused)
+{
+    EXPECT_FALSE(isOk(decodeReport("")));
+    EXPECT_FALSE(isOk(decodeReport("GET / HTTP/1.1")));
+    std::string cut = encodeReport(report("a", 1, {{1, 1}}));
+    cut.pop_back();
+    EXPECT_FALSE(isOk(decodeReport(cut)));
+}
+
+// Guards against instances that replace each other in the view: each then placed requests as if it
+// were alone, and targets refused every seventh request as full.
+TEST(FleetViewTest, EachInstanceIsKeptUnderItsOwnId)
+{
+    FleetView view;
+    EXPECT_TRUE(view.merge(report("a", 1, {{1, 2}}), start));
+    EXPECT_TRUE(view.merge(report("b", 1, {{1, 3}}), start));
+    EXPECT_EQ(view.peers().size(), 2U);
+    EXPECT_DOUBLE_EQ(view.inFlightAt(1, start), 5);
+    EXPECT_TRUE(view.isAlive("a", start));
+    EXPECT_TRUE(view.isAlive("b", start));
+}
+
+// Guards against a datagram that was overtaken bringing old figures back.
+TEST(FleetViewTest, AnOlderReportOfTheSameStartChangesNothing)
+{
+    FleetView view;
+    view.merge(report("a", 2, {{1, 4}}), start);
+    EXPECT_FALSE(view.merge(report("a", 1, {{1, 9}}), start + 1ms));
+    EXPECT_DOUBLE_EQ(view.inFlightAt(1, start), 4);
+    LoadReport restarted = report("a", 1, {});
+    restarted.sender.incarnation = 8;
+    EXPECT_TRUE(view.merge(restarted, start + 2ms));
+    EXPECT_DOUBLE_EQ(view.inFlightAt(1, start), 0);
+}
+
+// Guards against requests of a dead instance that block slots for good.
+TEST(FleetViewTest, FiguresOfASilentInstanceLapse)
+{
+    FleetView view;
+    view.merge(report("a", 1, {{1, 4}}), start);
+    EXPECT_DOUBLE_EQ(view.inFlightAt(1, start + FleetView::reportLife + 1ms), 0);
+    EXPECT_FALSE(view.isAlive("a", start + FleetView::aliveLimit + 1ms));
+}
+
+// Guards against queues of other regions that make the own one look longer.
+TEST(FleetViewTest, QueuesCountForTheirRegionOnly)
+{
+    FleetView view;
+    view.merge(report("a", 1, {}), start);
+    const std::map<std::string, std::string> zones{{"tpe-a", "taipei"}, {"khh-a", "kaohsiung"}};
+    EXPECT_DOUBLE_EQ(view.queuedFor(5, "taipei", zones, start), 2);
+    EXPECT_DOUBLE_EQ(view.queuedFor(5, "kaohsiung", zones, start), 0);
+}
+
+} // namespace
+} // namespace chestnutvane
--- a/chestnutvane/process/gateway/send_limits.h
+++ b/chestnutvane/process/gateway/send_limits.h
@@ -63,6 +63,10 @@
     // the instance's share is used up.
     [[nodiscard]] bool take(TimePoint now, std::size_t instances);
 
+    // Requests and retries of the last window, for logs.
+    [[nodiscard]] std::size_t requests(TimePoint now) { return requests_.count(now); }
+    [[nodiscard]] std::size_t retries(TimePoint now) { return retries_.count(now); }
+
 private:
     RetryBound bound_;
     SlidingCount requests_;
