Tell callers to come back at once after a random refusal of a target

A target that refuses part of its requests beside free slots was paused like a full one, and callers were told to wait for about a run time, which made most of their next attempts late.

--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -60,6 +60,7 @@
     std::shared_ptr<TargetExchange> exchange;
     std::shared_ptr<Target> target;
     bool sentWarm = false;
+    bool refusedBesideRoom = false; // the last target refused it although it had a free slot
     WorkEstimate sentWork;
     net::steady_timer limitTimer;
     bool done = false;
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -32,7 +32,8 @@
 constexpr double minSlowness = 0.5;
 constexpr double maxSlowness = 20;
 // Refusals tell the caller to come back within these bounds.
-constexpr Milliseconds shortestRetryAfter{200};
+constexpr Milliseconds atOnce{10};
+constexpr Milliseconds shortestRetryAfter{10};
 constexpr Milliseconds longestRetryAfter{1500};
 
 std::int64_t toMilliseconds(Duration duration)
@@ -158,11 +159,17 @@
     const unsigned status = answer.message.result_int();
     if (answer.notRun) {
         fadeIn(target.failureRate, 1, failureWeight);
-        if (answer.otherTarget)
+        if (answer.otherTarget) {
             target.avoidedUntil = now + misdirectedPause;
-        else
+            return retryOrAnswer(pending, "misdirected");
+        }
+        // A target that refuses requests beside free slots fails; a pause would waste its slots.
+        const bool isFull = answer.load ? answer.load->running >= answer.load->slots
+                                        : target.inFlight + 1 >= target.entry.slots;
+        if (isFull)
             target.fullUntil = now + fullPause;
-        return retryOrAnswer(pending, answer.otherTarget ? "misdirected" : "target-refused");
+        pending->refusedBesideRoom = !isFull;
+        return retryOrAnswer(pending, isFull ? "target-full" : "target-refused");
     }
     ++pending->runs;
     if (target.failuresInRow > 0)
@@ -250,7 +257,9 @@
     if (pending->runs > 0)
         return answerOwn(pending, http::status::bad_gateway, reason);
     const auto work = times_.estimate(route.name, pending->service, route.aim);
-    refuse(pending, reason, work.mean);
+    // A target that refuses beside free slots does so at random, so the next attempt may come at
+    // once; a slot of a full service is free after about a run.
+    refuse(pending, reason, pending->refusedBesideRoom ? Duration(atOnce) : work.mean);
 }
 
 void Gateway::deliver(const Pending &pending, HttpResponseMessage message, std::string_view outcome)
