--- /dev/null
+++ b/chestnutvane/connection/caller_connection_test.cc
@@ -0,0 +1,178 @@
+#include "chestnutvane/connection/caller_connection.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "testing/raw_peer.h"
+
+namespace chestnutvane {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A listener on a free port whose handler answers with the path after a delay.
+class CallerConnectionTest : public ::testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        for (std::uint16_t port = 21000; port < 21200 && !listener_; ++port) {
+            auto listener = CallerListener::create(
+                    io_, "127.0.0.1:" + std::to_string(port),
+                    [this](Call call) { handle(std::move(call)); }, [this] { return limits_; });
+            if (isOk(listener)) {
+                listener_ = value(std::move(listener));
+                port_ = port;
+            }
+        }
+        ASSERT_NE(listener_, nullptr);
+    }
+
+    void start()
+    {
+        thread_ = std::thread([this] { io_.run(); });
+    }
+
+    void TearDown() override
+    {
+        io_.stop();
+        if (thread_.joinable())
+            thread_.join();
+    }
+
+    void handle(Call call)
+    {
+        ++calls_;
+        call.onGone([this] { ++gone_; });
+        auto timer = std::make_shared<net::steady_timer>(io_, delay_);
+        timer->async_wait([timer, call = std::move(call)](const boost::system::error_code &) {
+            HttpResponseMessage response(http::status::ok, 11);
+            response.body() = "[" + std::string(call.request->target()) + call.request->body() + "]";
+            call.answer(std::move(response));
+        });
+    }
+
+    static std::string get(const std::string &path)
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\n\r\n";
+    }
+
+    net::io_context io_{1};
+    net::executor_work_guard<net::io_context::executor_type> work_ = net::make_work_guard(io_);
+    CallerConnectionLimits limits_;
+    Milliseconds delay_{5};
+    std::shared_ptr<CallerListener> listener_;
+    std::uint16_t port_ = 0;
+    std::atomic<int> calls_{0};
+    std::atomic<int> gone_{0};
+    std::thread thread_;
+};
+
+// Guards against answers that belong to other requests: the next requests arrive in pieces while
+// the first is worked on, and the buffer is consumed while the connection waits for more.
+TEST_F(CallerConnectionTest, PipelinedRequestsInPiecesAreAnsweredInOrder)
+{
+    delay_ = 30ms;
+    start();
+    RawClient client(port_);
+    std::string all;
+    constexpr int requests = 12;
+    for (int i = 0; i < requests; ++i)
+        all += get("/" + std::to_string(i) + "/" + std::string(static_cast<std::size_t>(i) * 7, 'x'));
+    constexpr std::size_t piece = 37;
+    for (std::size_t at = 0; at < all.size(); at += piece) {
+        client.send(all.substr(at, piece));
+        std::this_thread::sleep_for(3ms);
+    }
+    for (int i = 0; i < requests; ++i) {
+        const std::string answer = client.readUntil("]");
+        EXPECT_NE(answer.find("[/" + std::to_string(i) + "/"), std::string::npos) << answer;
+    }
+    EXPECT_EQ(calls_, requests);
+}
+
+// Guards against chunked bodies that are lost, cut or taken for the next request.
+TEST_F(CallerConnectionTest, AChunkedBodyArrivesWhole)
+{
+    start();
+    RawClient client(port_);
+    client.send("POST /up HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n");
+    client.send("6\r\n world\r\n0\r\n\r\n" + get("/next"));
+    EXPECT_NE(client.readUntil("]").find("[/uphello world]"), std::string::npos);
+    EXPECT_NE(client.readUntil("]").find("[/next]"), std::string::npos);
+}
+
+// Guards against work that goes on after its caller has left, also one that pipelines.
+TEST_F(CallerConnectionTest, ACallerThatLeavesIsNoticedBehindAPipelinedRequest)
+{
+    delay_ = 2s;
+    start();
+    RawClient client(port_);
+    client.send(get("/1") + get("/2"));
+    while (calls_ == 0)
+        std::this_thread::sleep_for(1ms);
+    client.close();
+    for (int i = 0; i < 450 && gone_ == 0; ++i)
+        std::this_thread::sleep_for(1ms);
+    EXPECT_EQ(gone_, 1);
+}
+
+// Guards against limits that are not kept, and against a request that is refused without a reason.
+TEST_F(CallerConnectionTest, RequestsBeyondTheLimitsAreRefused)
+{
+    limits_.maxBodyBytes = 10;
+    limits_.maxHeaderBytes = 200;
+    start();
+    RawClient large(port_);
+    large.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\nhello world");
+    EXPECT_NE(large.readUntil("\r\n\r\n").find(" 413 "), std::string::npos);
+    RawClient wide(port_);
+    wide.send("GET / HTTP/1.1\r\nHost: a\r\nLong: " + std::string(400, 'x') + "\r\n\r\n");
+    EXPECT_NE(wide.readUntil("\r\n\r\n").find(" 431 "), std::string::npos);
+    RawClient broken(port_);
+    broken.send("no request at all\r\n\r\n");
+    EXPECT_NE(broken.readUntil("\r\n\r\n").find(" 400 "), std::string::npos);
+    EXPECT_EQ(calls_, 0);
+}
+
+// Guards against a caller that holds a connection with half a request.
+TEST_F(CallerConnectionTest, ASlowHeaderEndsWith408AndAnIdleConnectionCloses)
+{
+    limits_.headerTimeout = 60ms;
+    limits_.idleTimeout = 120ms;
+    start();
+    RawClient slow(port_);
+    slow.send("GET / HTTP/1.1\r\nHo");
+    EXPECT_NE(slow.readUntil("\r\n\r\n").find(" 408 "), std::string::npos);
+    RawClient idle(port_);
+    EXPECT_TRUE(idle.waitForClose());
+}
+
+// Guards against a stop that cuts requests, and one after which callers keep their connections.
+TEST_F(CallerConnectionTest, ClosingEndsIdleConnectionsAndAnswersWhatWasRead)
+{
+    delay_ = 100ms;
+    start();
+    RawClient idle(port_);
+    idle.send(get("/0"));
+    EXPECT_NE(idle.readUntil("]").find("[/0]"), std::string::npos);
+    RawClient busy(port_);
+    busy.send(get("/1"));
+    while (calls_ < 2)
+        std::this_thread::sleep_for(1ms);
+    net::post(io_, [this] { listener_->startClosing(); });
+    EXPECT_TRUE(idle.waitForClose());
+    const std::string answer = busy.readUntil("]");
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+    EXPECT_NE(answer.find("[/1]"), std::string::npos) << answer;
+    EXPECT_TRUE(busy.waitForClose());
+}
+
+} // namespace
+} // namespace chestnutvane
--- /dev/null
+++ b/chestnutvane/connection/target_exchange_test.cc
@@ -0,0 +1,238 @@
+#include "chestnutvane/connection/target_exchange.h"
+
+#include <gtest/gtest.h>
+
+#include "testing/raw_peer.h"
+
+namespace chestnutvane {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char *wholeAnswer = "HTTP/1.1 200 OK\r\nVane-Request-Id: r1\r\nAnswer-Seal: s\r\n"
+                                    "Target-Load: 2,0,3\r\nContent-Length: 4\r\n\r\nbody";
+
+class TargetExchangeTest : public ::testing::Test
+{
+protected:
+    // Sends one request with the id r1 and returns how it ended.
+    ExchangeResult exchange(const RawServer &server, const std::string &body = {},
+                            Duration limit = 2s)
+    {
+        ExchangeRequest request;
+        request.address = server.address();
+        request.message = std::make_shared<HttpRequestMessage>(
+                body.empty() ? http::verb::get : http::verb::post, "/x", 11);
+        request.message->set(http::field::host, "a.example");
+        request.message->body() = body;
+        request.message->prepare_payload();
+        request.requestId = "r1";
+        request.connectLimit = 500ms;
+        request.limit = Clock::now() + limit;
+        request.maxIdle = 2s;
+        std::optional<ExchangeResult> result;
+        const auto running = TargetExchange::start(
+                io_, pool_, std::move(request),
+                [&result](ExchangeResult ended) { result = std::move(ended); });
+        io_.restart();
+        while (!result)
+            io_.run_one();
+        return std::move(*result);
+    }
+
+    ExchangeFailure failureOf(const std::string &bytes, bool reset = false)
+    {
+        const RawServer server([&bytes, reset](RawClient &connection, int) {
+            connection.readUntil("\r\n\r\n");
+            connection.send(bytes);
+            if (reset) {
+                std::this_thread::sleep_for(30ms);
+                connection.reset();
+            }
+        });
+        const ExchangeResult result = exchange(server);
+        const auto *failed = std::get_if<ExchangeError>(&result.outcome);
+        if (failed == nullptr) {
+            ADD_FAILURE() << "an answer was taken";
+            return ExchangeFailure::Cancelled;
+        }
+        EXPECT_TRUE(failed->mayHaveRun);
+        return failed->failure;
+    }
+
+    net::io_context io_{1};
+    TargetPool pool_;
+};
+
+// Guards against an answer that loses its parts, and a connection that is not used again.
+TEST_F(TargetExchangeTest, AWholeAnswerIsTakenAndItsConnectionReused)
+{
+    const RawServer server([](RawClient &connection, int) {
+        for (int i = 0; i < 2; ++i) {
+            connection.readUntil("\r\n\r\n");
+            connection.send(wholeAnswer);
+        }
+        connection.waitForClose(1s);
+    });
+    const ExchangeResult first = exchange(server);
+    const auto &answer = std::get<TargetAnswer>(first.outcome);
+    EXPECT_EQ(answer.message.body(), "body");
+    EXPECT_FALSE(answer.notRun);
+    ASSERT_TRUE(answer.load);
+    EXPECT_EQ(answer.load->running, 2);
+    EXPECT_FALSE(first.reused);
+    EXPECT_TRUE(exchange(server).reused);
+    EXPECT_EQ(server.connections(), 1);
+    pool_.drop(server.address());
+}
+
+// Guards against a cut answer that is passed on as a whole one.
+TEST_F(TargetExchangeTest, CutAnswersAreNoAnswers)
+{
+    EXPECT_EQ(failureOf("HTTP/1.1 200 OK\r\nVane-Request-Id: r1\r\nAnswer-Seal: s\r\n"
+                        "Content-Length: 9\r\n\r\nbody"),
+              ExchangeFailure::ConnectionLost);
+    EXPECT_EQ(failureOf("HTTP/1.1 200 OK\r\nVane-Request-Id: r1\r\nAnswer-Seal: s\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"),
+              ExchangeFailure::ConnectionLost);
+    EXPECT_EQ(failureOf(""), ExchangeFailure::ConnectionLost);
+}
+
+// Guards against an answer without a length that was reset on its way and looks complete.
+TEST_F(TargetExchangeTest, AnUnframedAnswerEndsWithACloseAndNotWithAReset)
+{
+    const std::string unframed =
+            "HTTP/1.1 200 OK\r\nVane-Request-Id: r1\r\nAnswer-Seal: s\r\n\r\nbody";
+    EXPECT_EQ(failureOf(unframed, true), ExchangeFailure::ConnectionLost);
+    const RawServer server([&unframed](RawClient &connection, int) {
+        connection.readUntil("\r\n\r\n");
+        connection.send(unframed);
+    });
+    const ExchangeResult result = exchange(server);
+    EXPECT_EQ(std::get<TargetAnswer>(result.outcome).message.body(), "body");
+}
+
+// Guards against bytes of a faulty target that reach a caller as its answer.
+TEST_F(TargetExchangeTest, BytesThatAreNoAnswerToTheRequestAreGarbled)
+{
+    EXPECT_EQ(failureOf("this is not HTTP\r\n\r\n"), ExchangeFailure::Garbled);
+    EXPECT_EQ(failureOf("HTTP/1.1 200 OK\r\nVane-Request-Id: r1\r\nContent-Length: 0\r\n\r\n"),
+              ExchangeFailure::Garbled); // without a seal
+    EXPECT_EQ(failureOf("HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\nContent-Length: 0\r\n\r\n"),
+              ExchangeFailure::Garbled); // without an id
+    EXPECT_EQ(failureOf("HTTP/1.1 200 OK\r\nVane-Request-Id: r1\r\nAnswer-Seal: s\r\n"
+                        "Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody"),
+              ExchangeFailure::Garbled);
+}
+
+// Guards against a second answer of an earlier request that is taken for the one to this request.
+TEST_F(TargetExchangeTest, AnExtraAnswerOfAnotherRequestIsDropped)
+{
+    const RawServer server([](RawClient &connection, int) {
+        connection.readUntil("\r\n\r\n");
+        connection.send("HTTP/1.1 200 OK\r\nVane-Request-Id: r0\r\nAnswer-Seal: s\r\n"
+                        "Content-Length: 5\r\n\r\nother");
+        connection.send(wholeAnswer);
+        connection.waitForClose(1s);
+    });
+    const ExchangeResult result = exchange(server);
+    EXPECT_EQ(std::get<TargetAnswer>(result.outcome).message.body(), "body");
+    pool_.drop(server.address());
+}
+
+// Guards against bytes behind an answer that would stand before the next one.
+TEST_F(TargetExchangeTest, AConnectionWithExtraBytesIsNotReused)
+{
+    const RawServer server([](RawClient &connection, int) {
+        connection.readUntil("\r\n\r\n");
+        connection.send(std::string(wholeAnswer) + "extra");
+        connection.waitForClose(1s);
+    });
+    EXPECT_TRUE(std::holds_alternative<TargetAnswer>(exchange(server).outcome));
+    EXPECT_FALSE(exchange(server).reused);
+}
+
+// Guards against extra bytes that come only while the connection is idle.
+TEST_F(TargetExchangeTest, AnIdleConnectionOnWhichBytesArriveIsNotReused)
+{
+    const RawServer server([](RawClient &connection, int number) {
+        connection.readUntil("\r\n\r\n");
+        connection.send(wholeAnswer);
+        if (number == 0) {
+            std::this_thread::sleep_for(20ms);
+            connection.send("late extra");
+        }
+        connection.waitForClose(1s);
+    });
+    EXPECT_TRUE(std::holds_alternative<TargetAnswer>(exchange(server).outcome));
+    std::this_thread::sleep_for(100ms);
+    EXPECT_FALSE(exchange(server).reused);
+}
+
+// Guards against the rest of a long body that a target would take for the next request.
+TEST_F(TargetExchangeTest, AConnectionAnsweredBeforeTheBodyWasWrittenIsNotReused)
+{
+    const RawServer server([](RawClient &connection, int) {
+        connection.readUntil("\r\n\r\n");
+        connection.send(wholeAnswer);
+        std::this_thread::sleep_for(100ms);
+        connection.waitForClose(1s);
+    });
+    const std::string body(16U << 20U, 'x'); // above what the sockets' buffers hold
+    const ExchangeResult result = exchange(server, body);
+    EXPECT_TRUE(std::holds_alternative<TargetAnswer>(result.outcome));
+    EXPECT_FALSE(pool_.take(server.address(), Clock::now()).has_value());
+}
+
+// Guards against a target's word "not run" that is taken for a failure or an answer.
+TEST_F(TargetExchangeTest, RefusalsOfTheTargetAreToldApart)
+{
+    const RawServer server([](RawClient &connection, int number) {
+        connection.readUntil("\r\n\r\n");
+        connection.send(number == 0 ? "HTTP/1.1 503 Busy\r\nVane-Not-Run: 1\r\n"
+                                      "Content-Length: 0\r\nConnection: close\r\n\r\n"
+                                    : "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n"
+                                      "Connection: close\r\n\r\n");
+    });
+    const ExchangeResult busy = exchange(server);
+    EXPECT_TRUE(std::get<TargetAnswer>(busy.outcome).notRun);
+    EXPECT_FALSE(std::get<TargetAnswer>(busy.outcome).otherTarget);
+    const ExchangeResult other = exchange(server);
+    EXPECT_TRUE(std::get<TargetAnswer>(other.outcome).notRun);
+    EXPECT_TRUE(std::get<TargetAnswer>(other.outcome).otherTarget);
+}
+
+// Guards against "may have run" for a request that no target can have seen.
+TEST_F(TargetExchangeTest, ARefusedConnectionSurelyDidNotRunTheRequest)
+{
+    std::optional<RawServer> server;
+    server.emplace([](RawClient &, int) {});
+    const std::string address = server->address();
+    ExchangeRequest request;
+    request.address = address;
+    server.reset();
+    request.message = std::make_shared<HttpRequestMessage>(http::verb::get, "/", 11);
+    request.connectLimit = 500ms;
+    request.limit = Clock::now() + 1s;
+    std::optional<ExchangeResult> result;
+    const auto running =
+            TargetExchange::start(io_, pool_, std::move(request),
+                                  [&result](ExchangeResult ended) { result = std::move(ended); });
+    while (!result)
+        io_.run_one();
+    const auto &failed = std::get<ExchangeError>(result->outcome);
+    EXPECT_EQ(failed.failure, ExchangeFailure::ConnectFailed);
+    EXPECT_FALSE(failed.mayHaveRun);
+}
+
+// Guards against an attempt that outlasts its limit.
+TEST_F(TargetExchangeTest, ASilentTargetTimesOut)
+{
+    const RawServer server([](RawClient &connection, int) { connection.waitForClose(3s); });
+    const ExchangeResult result = exchange(server, {}, 100ms);
+    EXPECT_EQ(std::get<ExchangeError>(result.outcome).failure, ExchangeFailure::TimedOut);
+    EXPECT_TRUE(std::get<ExchangeError>(result.outcome).mayHaveRun);
+}
+
+} // namespace
+} // namespace chestnutvane
