--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -59,8 +59,12 @@
     const double queuedElsewhere =
             fleet_.queuedFor(hash64(service), region_, settings_.zoneRegions, now)
             / static_cast<double>(std::max<std::size_t>(inRegion, 1));
-    std::stable_partition(queue.begin(), queue.end(),
-                          [now](const Pending &pending) { return pending->aimAt > now; });
+    // Requests that cannot meet their aim any more go last: they take no slot from one that can.
+    std::stable_partition(queue.begin(), queue.end(), [this, now](const Pending &pending) {
+        const auto work =
+                times_.estimate(pending->route->name, pending->service, pending->route->aim);
+        return pending->aimAt - now > work.warm + callerPath;
+    });
     const Queue waiting = queue;
     for (const Pending &pending : waiting) {
         std::vector<std::size_t> indices;
@@ -73,9 +77,8 @@
         if (end_)
             limit = std::min(limit, *end_);
         const auto work = times_.estimate(pending->route->name, service, pending->route->aim);
-        const Placement placement =
-                place(candidates, work, {pending->aimAt - now - callerPath, limit - now},
-                      placement_);
+        const PlacementLimits limits{pending->aimAt - now - callerPath, limit - now};
+        const Placement placement = place(candidates, work, limits, placement_);
         if (placement.action == PlacementAction::Wait) {
             ++targets[indices[placement.index]]->planned;
             continue;
--- a/chestnutvane/process/gateway/placement.cc
+++ b/chestnutvane/process/gateway/placement.cc
@@ -61,6 +61,11 @@
         best.action = hasFreeSlot(candidate) && candidate.mayTake ? PlacementAction::Send
                                                                   : PlacementAction::Wait;
     }
+    const Duration late = std::max(limits.limitLeft - limits.aimLeft, Duration{0});
+    const Duration waitLimit = std::max(limits.aimLeft, Duration{0})
+            + toDuration(Seconds(late) * settings.lateWaitShare);
+    if (best.action == PlacementAction::Wait && best.expected > waitLimit)
+        best.action = PlacementAction::Refuse;
     const bool tooLate =
             best.expected > toDuration(Seconds(limits.limitLeft) * settings.limitShare);
     const bool known = work.measured || best.action == PlacementAction::Wait;
--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -91,6 +91,7 @@
 
 void StoreFeed::run(Loop loop)
 {
+    loops_[indexOf(loop)].callStart = Clock::now();
     switch (loop) {
     case Loop::Operator:
         return operatorKnown_ ? watchOperator() : readOperator();
@@ -123,7 +124,8 @@
     LoopState &state = loops_[indexOf(loop)];
     ++state.failures;
     state.waitsAfterFailure = true;
-    if (!contactLost_) {
+    // A call that was sent before contact was back tells nothing of the time since.
+    if (!contactLost_ && state.callStart > regained_) {
         contactLost_ = true;
         logEvent(Event::StoreFailed, {{"reason", enumName(storeFailureNames, failure.failure)},
                                       {"detail", failure.detail}});
@@ -165,7 +167,7 @@
                 posted<WatchResult>(Loop::Operator, [this](const WatchResult &result) {
                     operatorKnown_ = true;
                     takeOperator(result);
-                    watchOperator();
+                    run(Loop::Operator);
                 }));
 }
 
@@ -184,7 +186,7 @@
                          if (!value(result).unchanged)
                              takeOperator(value(result));
                          operatorVersion_ = std::max(operatorVersion_, value(result).version);
-                         watchOperator();
+                         run(Loop::Operator);
                      });
                  });
 }
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store_feed.h
@@ -113,6 +113,7 @@
         std::unique_ptr<boost::asio::steady_timer> timer;
         int failures = 0;
         bool waitsAfterFailure = false;
+        TimePoint callStart;
     };
 
     boost::asio::io_context &io_;
