--- a/chestnutvane/connection/caller_connection.cc
+++ b/chestnutvane/connection/caller_connection.cc
@@ -76,10 +76,7 @@
 public:
     Listener(net::io_context &io, CallHandler handler,
              std::function<CallerConnectionLimits()> limits)
-        : io_(io),
-          acceptor_(io),
-          retryTimer_(io),
-          handler_(std::move(handler)),
+        : io_(io), acceptor_(io), retryTimer_(io), handler_(std::move(handler)),
           limits_(std::move(limits))
     { }
 
@@ -190,11 +187,10 @@
         return;
     reading_ = true;
     // The buffer may be consumed while the wait is outstanding, so its memory is not given away.
-    socket_.async_wait(Tcp::socket::wait_read,
-                       [self = shared_from_this()](const Error &failure) {
-                           self->reading_ = false;
-                           self->onReadable(failure);
-                       });
+    socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](const Error &failure) {
+        self->reading_ = false;
+        self->onReadable(failure);
+    });
 }
 
 void Connection::onReadable(Error failure)
@@ -303,12 +299,11 @@
     const bool close = !response_->keep_alive();
     constexpr Milliseconds writeLimit{10000}; // a caller that does not read is given up
     setTimer(writeLimit);
-    http::async_write(
-            socket_, *response_,
-            [self = shared_from_this(), keep = response_, close](const Error &failure,
-                                                                 std::size_t /*bytes*/) {
-                self->onAnswered(failure, close);
-            });
+    http::async_write(socket_, *response_,
+                      [self = shared_from_this(), keep = response_, close](const Error &failure,
+                                                                           std::size_t /*bytes*/) {
+                          self->onAnswered(failure, close);
+                      });
 }
 
 void Connection::onAnswered(const Error &failure, bool close)
@@ -386,8 +381,7 @@
 CallerListener::create(net::io_context &io, const std::string &endpoint, CallHandler handler,
                        std::function<CallerConnectionLimits()> limits)
 {
-    auto listener =
-            std::make_shared<internal::Listener>(io, std::move(handler), std::move(limits));
+    auto listener = std::make_shared<internal::Listener>(io, std::move(handler), std::move(limits));
     if (auto failure = listener->open(endpoint))
         return ListenError{endpoint, *failure};
     listener->accept();
--- a/chestnutvane/connection/caller_connection_test.cc
+++ b/chestnutvane/connection/caller_connection_test.cc
@@ -53,7 +53,8 @@
         auto timer = std::make_shared<net::steady_timer>(io_, delay_);
         timer->async_wait([timer, call = std::move(call)](const boost::system::error_code &) {
             HttpResponseMessage response(http::status::ok, 11);
-            response.body() = "[" + std::string(call.request->target()) + call.request->body() + "]";
+            response.body() =
+                    "[" + std::string(call.request->target()) + call.request->body() + "]";
             call.answer(std::move(response));
         });
     }
@@ -84,7 +85,8 @@
     std::string all;
     constexpr int requests = 12;
     for (int i = 0; i < requests; ++i)
-        all += get("/" + std::to_string(i) + "/" + std::string(static_cast<std::size_t>(i) * 7, 'x'));
+        all += get("/" + std::to_string(i) + "/"
+                   + std::string(static_cast<std::size_t>(i) * 7, 'x'));
     constexpr std::size_t piece = 37;
     for (std::size_t at = 0; at < all.size(); at += piece) {
         client.send(all.substr(at, piece));
--- a/chestnutvane/connection/target_exchange.cc
+++ b/chestnutvane/connection/target_exchange.cc
@@ -56,12 +56,8 @@
 {
 public:
     Exchange(net::io_context &io, TargetPool &pool, ExchangeRequest request, Callback callback)
-        : io_(io),
-          pool_(pool),
-          request_(std::move(request)),
-          callback_(std::move(callback)),
-          socket_(io),
-          timer_(io)
+        : io_(io), pool_(pool), request_(std::move(request)), callback_(std::move(callback)),
+          socket_(io), timer_(io)
     { }
 
     void begin();
@@ -158,9 +154,8 @@
 void Exchange::onAnswer(const Error &failure)
 {
     if (failure) {
-        const bool broken = failure.category() == boost::beast::http::make_error_code(
-                                                          http::error::bad_version)
-                                                          .category()
+        const bool broken = failure.category()
+                        == boost::beast::http::make_error_code(http::error::bad_version).category()
                 && failure != http::error::end_of_stream && failure != http::error::partial_message;
         return fail(broken ? ExchangeFailure::Garbled : ExchangeFailure::ConnectionLost);
     }
@@ -245,8 +240,8 @@
 {
     timer_.expires_at(at);
     timer_.async_wait([weak = weak_from_this(), failure](const Error &ended) {
-        if (const auto self = weak.lock(); self && !ended && !self->done_
-            && self->timer_.expiry() <= Clock::now())
+        if (const auto self = weak.lock();
+            self && !ended && !self->done_ && self->timer_.expiry() <= Clock::now())
             self->fail(failure);
     });
 }
@@ -300,8 +295,8 @@
 std::shared_ptr<TargetExchange> TargetExchange::start(net::io_context &io, TargetPool &pool,
                                                       ExchangeRequest request, Callback callback)
 {
-    auto exchange = std::make_shared<internal::Exchange>(io, pool, std::move(request),
-                                                         std::move(callback));
+    auto exchange =
+            std::make_shared<internal::Exchange>(io, pool, std::move(request), std::move(callback));
     exchange->begin();
     return exchange;
 }
--- a/chestnutvane/process/gateway/directory_test.cc
+++ b/chestnutvane/process/gateway/directory_test.cc
@@ -23,8 +23,8 @@
 // Guards against callers that are sent across a region link while their region serves.
 TEST(DirectoryTest, TheCallersRegionComesFirst)
 {
-    EXPECT_EQ(instancesFor(fromTaipei,
-                           {{"1:1", "khh-a", "kaohsiung"}, {"2:1", "tpe-b", "taipei"}}, nullptr),
+    EXPECT_EQ(instancesFor(fromTaipei, {{"1:1", "khh-a", "kaohsiung"}, {"2:1", "tpe-b", "taipei"}},
+                           nullptr),
               Addresses{"2:1"});
 }
 
--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -14,7 +14,8 @@
 constexpr Milliseconds reportPeriod{200};
 // Changes within this time go out in one report: it is below the run time of any request.
 constexpr Milliseconds gatherTime{4};
-// Notes above this number would not fit into one datagram of an Ethernet frame; the oldest go first.
+// Notes above this number would not fit into one datagram of an Ethernet frame; the oldest go
+// first.
 constexpr std::size_t maxWarmNotes = 50;
 // An instance that is neither listed nor heard for this long gets no more reports.
 constexpr std::chrono::seconds forgottenAfter{30};
@@ -31,17 +32,14 @@
 
 FleetLink::FleetLink(net::io_context &io, PeerIdentity self, const GatewaySettings &settings,
                      Gateway &gateway)
-    : self_(std::move(self)),
-      settings_(settings),
-      gateway_(gateway),
-      socket_(io),
-      tickTimer_(io),
+    : self_(std::move(self)), settings_(settings), gateway_(gateway), socket_(io), tickTimer_(io),
       soonTimer_(io)
 { }
 
-Result<std::unique_ptr<FleetLink>, ListenError>
-FleetLink::create(net::io_context &io, PeerIdentity self, const GatewaySettings &settings,
-                  Gateway &gateway)
+Result<std::unique_ptr<FleetLink>, ListenError> FleetLink::create(net::io_context &io,
+                                                                  PeerIdentity self,
+                                                                  const GatewaySettings &settings,
+                                                                  Gateway &gateway)
 {
     std::unique_ptr<FleetLink> link(new FleetLink(io, std::move(self), settings, gateway));
     const std::string &address = link->self_.reportAddress;
@@ -107,8 +105,8 @@
 {
     auto report = decodeReport({buffer_.data(), bytes});
     if (!isOk(report)) {
-        logEvent(Event::ReportIgnored, {{"from", from_.address().to_string()},
-                                        {"reason", error(report).detail}});
+        logEvent(Event::ReportIgnored,
+                 {{"from", from_.address().to_string()}, {"reason", error(report).detail}});
         return;
     }
     LoadReport &load = value(report);
@@ -120,9 +118,10 @@
             || known->second.report.sender.incarnation != load.sender.incarnation;
     const bool stateChanged = isNew || known->second.report.state != load.state;
     if (stateChanged)
-        logEvent(Event::MemberChanged, {{"instance", load.sender.id},
-                                        {"state", enumName(peerStateNames, load.state)},
-                                        {"new", isNew ? 1 : 0}});
+        logEvent(Event::MemberChanged,
+                 {{"instance", load.sender.id},
+                  {"state", enumName(peerStateNames, load.state)},
+                  {"new", isNew ? 1 : 0}});
     const PeerIdentity sender = load.sender;
     const auto warm = load.warm;
     gateway_.noteWarm(warm);
--- a/chestnutvane/process/gateway/fleet_link.h
+++ b/chestnutvane/process/gateway/fleet_link.h
@@ -30,9 +30,10 @@
 class FleetLink
 {
 public:
-    static Result<std::unique_ptr<FleetLink>, ListenError>
-    create(net::io_context &io, PeerIdentity self, const GatewaySettings &settings,
-           Gateway &gateway);
+    static Result<std::unique_ptr<FleetLink>, ListenError> create(net::io_context &io,
+                                                                  PeerIdentity self,
+                                                                  const GatewaySettings &settings,
+                                                                  Gateway &gateway);
 
     FleetLink(const FleetLink &) = delete;
     FleetLink &operator=(const FleetLink &) = delete;
--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -41,10 +41,7 @@
 } // namespace
 
 Gateway::Gateway(net::io_context &io, const GatewaySettings &settings, Metrics &metrics)
-    : io_(io),
-      settings_(settings),
-      metrics_(metrics),
-      region_(settings.regionOf(settings.zone)),
+    : io_(io), settings_(settings), metrics_(metrics), region_(settings.regionOf(settings.zone)),
       registry_(settings.zoneRegions)
 { }
 
@@ -65,10 +62,9 @@
     };
     if (!table_)
         return answerNow(http::status::service_unavailable, "no-configuration");
-    const Route *route = table_->find(std::string_view(request[http::field::host].data(),
-                                                       request[http::field::host].size()),
-                                      std::string_view(request.target().data(),
-                                                       request.target().size()));
+    const Route *route = table_->find(
+            std::string_view(request[http::field::host].data(), request[http::field::host].size()),
+            std::string_view(request.target().data(), request.target().size()));
     if (route == nullptr)
         return answerNow(http::status::not_found, "no-route");
     const auto pending = makePending(std::move(call), *route);
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -130,9 +130,8 @@
     // Attempts and their ends (gateway_attempts.cc).
     void send(const Pending &pending, const std::shared_ptr<Target> &target,
               const Candidate &candidate, const WorkEstimate &work);
-    [[nodiscard]] std::shared_ptr<HttpRequestMessage> makeMessage(const PendingRequest &pending,
-                                                                  const Target &target,
-                                                                  TimePoint now) const;
+    [[nodiscard]] std::shared_ptr<HttpRequestMessage>
+    makeMessage(const PendingRequest &pending, const Target &target, TimePoint now) const;
     void onResult(const Pending &pending, ExchangeResult result);
     void onAnswer(const Pending &pending, TargetAnswer answer, Duration run);
     void onFailure(const Pending &pending, const ExchangeError &failure, bool reused);
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -138,7 +138,8 @@
     const auto target = pending->target;
     release(pending);
     if (result.connectTime) {
-        auto &known = roundTrips_.try_emplace(target->entry.zone, *result.connectTime).first->second;
+        auto &known =
+                roundTrips_.try_emplace(target->entry.zone, *result.connectTime).first->second;
         constexpr int weight = 8; // about the last 8 connections count
         known += (*result.connectTime - known) / weight;
     }
@@ -239,8 +240,7 @@
             && pending->connectFailures < maxConnectFailures;
     if (triedNow && mayRepeat && attemptsLeft && now < pending->limitAt) {
         const bool needsBudget = pending->arrivals > 0;
-        if (!needsBudget
-            || retryWindow(pending->service).take(now, fleet_.peers().size() + 1)) {
+        if (!needsBudget || retryWindow(pending->service).take(now, fleet_.peers().size() + 1)) {
             logEvent(Event::RequestRetried,
                      {{"request", pending->id},
                       {"reason", reason},
@@ -278,8 +278,8 @@
 void Gateway::refuse(const Pending &pending, std::string_view reason, Duration retryAfter)
 {
     HttpResponseMessage message(http::status::service_unavailable, 11);
-    const auto wait = std::clamp(retryAfter, Duration(shortestRetryAfter),
-                                 Duration(longestRetryAfter));
+    const auto wait =
+            std::clamp(retryAfter, Duration(shortestRetryAfter), Duration(longestRetryAfter));
     const std::string seconds = std::to_string(Seconds(wait).count());
     message.set(http::field::retry_after, seconds.substr(0, seconds.find('.') + 3));
     logEvent(Event::RequestRefused,
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -94,10 +94,10 @@
     }
 }
 
-std::vector<Candidate>
-Gateway::makeCandidates(const Pending &pending, const std::vector<std::shared_ptr<Target>> &targets,
-                        const std::vector<double> &loads, std::vector<std::size_t> &indices,
-                        TimePoint now)
+std::vector<Candidate> Gateway::makeCandidates(const Pending &pending,
+                                               const std::vector<std::shared_ptr<Target>> &targets,
+                                               const std::vector<double> &loads,
+                                               std::vector<std::size_t> &indices, TimePoint now)
 {
     std::vector<Candidate> candidates;
     std::vector<Candidate> avoided; // used only if there is no other
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -34,32 +34,27 @@
 
 GatewayProcess::GatewayProcess(net::io_context &io, const GatewaySettings &settings,
                                GatewayPlatform platform)
-    : io_(io),
-      settings_(settings),
-      platform_(std::move(platform)),
-      self_(identityOf(settings_)),
+    : io_(io), settings_(settings), platform_(std::move(platform)), self_(identityOf(settings_)),
       gateway_(io, settings_, metrics_),
       feed_(io, platform_.store, platform_.format, self_, feedEvents()),
-      signals_(io, SIGTERM, SIGINT, SIGHUP),
-      tickTimer_(io),
-      endTimer_(io)
+      signals_(io, SIGTERM, SIGINT, SIGHUP), tickTimer_(io), endTimer_(io)
 { }
 
 Result<std::unique_ptr<GatewayProcess>, ListenError>
 GatewayProcess::create(net::io_context &io, const GatewaySettings &settings,
                        GatewayPlatform platform)
 {
-    std::unique_ptr<GatewayProcess> process(
-            new GatewayProcess(io, settings, std::move(platform)));
+    std::unique_ptr<GatewayProcess> process(new GatewayProcess(io, settings, std::move(platform)));
     if (auto failure = process->listen())
         return *failure;
     process->feed_.start();
     process->waitForSignal();
     process->tick();
-    logEvent(Event::Started, {{"instance", settings.instanceId},
-                              {"zone", settings.zone},
-                              {"incarnation", process->self_.incarnation},
-                              {"callers", settings.callerAddress}});
+    logEvent(Event::Started,
+             {{"instance", settings.instanceId},
+              {"zone", settings.zone},
+              {"incarnation", process->self_.incarnation},
+              {"callers", settings.callerAddress}});
     return process;
 }
 
@@ -162,9 +157,8 @@
     HttpResponseMessage message(http::status::ok, 11);
     message.set(http::field::content_type, "application/json");
     message.body() = platform_.encodeAddresses(addresses, settings_.directoryTtl);
-    logEvent(Event::LookUpAnswered, {{"caller", call.peer},
-                                     {"region", query->region},
-                                     {"addresses", addresses.size()}});
+    logEvent(Event::LookUpAnswered,
+             {{"caller", call.peer}, {"region", query->region}, {"addresses", addresses.size()}});
     call.answer(std::move(message));
 }
 
--- a/chestnutvane/process/gateway/load_report.cc
+++ b/chestnutvane/process/gateway/load_report.cc
@@ -37,11 +37,11 @@
         warm.push_back(target);
         warm.push_back(object);
     }
-    const Json list = Json::array(
-            {formatVersion, report.sender.id, report.sender.incarnation, report.sender.zone,
-             report.sender.callerAddress, report.sender.reportAddress,
-             static_cast<int>(report.state), report.sequence, report.revision,
-             encodeCounts(report.inFlight), encodeCounts(report.queued), warm});
+    const Json list = Json::array({formatVersion, report.sender.id, report.sender.incarnation,
+                                   report.sender.zone, report.sender.callerAddress,
+                                   report.sender.reportAddress, static_cast<int>(report.state),
+                                   report.sequence, report.revision, encodeCounts(report.inFlight),
+                                   encodeCounts(report.queued), warm});
     std::string text;
     Json::to_cbor(list, text);
     return text;
@@ -75,7 +75,8 @@
 bool FleetView::merge(LoadReport report, TimePoint now)
 {
     const auto found = peers_.find(report.sender.id);
-    if (found != peers_.end() && found->second.report.sender.incarnation == report.sender.incarnation
+    if (found != peers_.end()
+        && found->second.report.sender.incarnation == report.sender.incarnation
         && found->second.report.sequence >= report.sequence)
         return false;
     const std::string id = report.sender.id;
--- a/chestnutvane/process/gateway/placement.cc
+++ b/chestnutvane/process/gateway/placement.cc
@@ -42,8 +42,8 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const Candidate &candidate = candidates[i];
         const Duration expected = expectedAnswer(candidate, work);
-        double score = Seconds(expected).count()
-                / (1 - std::min(candidate.failureRate, maxFailureRate));
+        double score =
+                Seconds(expected).count() / (1 - std::min(candidate.failureRate, maxFailureRate));
         score += Seconds(work.cold).count() * settings.rankShare * candidate.rank;
         if (!candidate.ownRegion)
             score += Seconds(settings.otherRegion).count();
--- a/chestnutvane/process/gateway/placement.h
+++ b/chestnutvane/process/gateway/placement.h
@@ -59,8 +59,8 @@
     // Part of the time limit that the expected answer may use; the rest covers the spread of run
     // times.
     double limitShare = 0.85;
-    // Part of the time between aim and limit that the expected answer of a waiting request may use. A
-    // request that waits for a late answer takes the slot of one that could still meet its aim.
+    // Part of the time between aim and limit that the expected answer of a waiting request may use.
+    // A request that waits for a late answer takes the slot of one that could still meet its aim.
     double lateWaitShare = 0.3;
     // Share of the cold run time added over the range of ranks, so that an object which no target
     // holds goes to the same few targets on all instances.
--- a/chestnutvane/process/gateway/send_limits_test.cc
+++ b/chestnutvane/process/gateway/send_limits_test.cc
@@ -54,8 +54,7 @@
             if (windows[instance].take(now, instances))
                 retries.add(now);
         }
-        const double allowed =
-                bound.ratio * static_cast<double>(requests.count(now)) + bound.slack;
+        const double allowed = bound.ratio * static_cast<double>(requests.count(now)) + bound.slack;
         RC_ASSERT(static_cast<double>(retries.count(now)) <= allowed);
     }
 }
--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -59,12 +59,8 @@
 
 StoreFeed::StoreFeed(boost::asio::io_context &io, Store store, FeedFormat format, PeerIdentity self,
                      FeedEvents events)
-    : io_(io),
-      store_(std::move(store)),
-      format_(std::move(format)),
-      self_(std::move(self)),
-      events_(std::move(events)),
-      random_(static_cast<std::mt19937::result_type>(self_.incarnation))
+    : io_(io), store_(std::move(store)), format_(std::move(format)), self_(std::move(self)),
+      events_(std::move(events)), random_(static_cast<std::mt19937::result_type>(self_.incarnation))
 {
     for (LoopState &loop : loops_)
         loop.timer = std::make_unique<boost::asio::steady_timer>(io);
@@ -127,12 +123,13 @@
     // A call that was sent before contact was back tells nothing of the time since.
     if (!contactLost_ && state.callStart > regained_) {
         contactLost_ = true;
-        logEvent(Event::StoreFailed, {{"reason", enumName(storeFailureNames, failure.failure)},
-                                      {"detail", failure.detail}});
+        logEvent(Event::StoreFailed,
+                 {{"reason", enumName(storeFailureNames, failure.failure)},
+                  {"detail", failure.detail}});
     }
     constexpr int maxDoublings = 4;
-    const auto pause = std::min(longestPause,
-                                firstPause * (1 << std::min(state.failures - 1, maxDoublings)));
+    const auto pause =
+            std::min(longestPause, firstPause * (1 << std::min(state.failures - 1, maxDoublings)));
     std::uniform_int_distribution<Milliseconds::rep> part(pause.count() / 2, pause.count());
     after(loop, Milliseconds(part(random_)));
 }
@@ -155,8 +152,8 @@
             if (isOk(result))
                 takeOperator(value(result));
             else // the loops report and repeat it
-                logEvent(Event::StoreFailed, {{"reason", "read-after-return"},
-                                              {"detail", error(result).detail}});
+                logEvent(Event::StoreFailed,
+                         {{"reason", "read-after-return"}, {"detail", error(result).detail}});
         });
     });
 }
@@ -203,9 +200,10 @@
         auto routes = format_.decodeRoutes(entry.value);
         if (isOk(routes)) {
             routesText_ = entry.value;
-            logEvent(Event::RoutesAdopted, {{"revision", value(routes)->revision()},
-                                            {"store-version", entry.version},
-                                            {"routes", value(routes)->routes().size()}});
+            logEvent(Event::RoutesAdopted,
+                     {{"revision", value(routes)->revision()},
+                      {"store-version", entry.version},
+                      {"routes", value(routes)->routes().size()}});
             events_.onRoutes(value(std::move(routes)));
         } else {
             logEvent(Event::RoutesRefused,
@@ -257,8 +255,7 @@
                       {"detail", error(target).detail}});
     }
     ignoredTargets_ = std::move(ignored);
-    const bool wasAway =
-            regained_ != TimePoint{} && Clock::now() - regained_ < returnOfEntries;
+    const bool wasAway = regained_ != TimePoint{} && Clock::now() - regained_ < returnOfEntries;
     events_.onTargets(std::move(targets), wasAway ? RemovalPolicy::Keep : RemovalPolicy::Immediate);
 }
 
@@ -326,16 +323,16 @@
 {
     // Reports between instances tell who lives; the list only makes new ones known.
     store_.listStale(format_.instancePrefix,
-                posted<WatchResult>(Loop::Instances, [this](const WatchResult &result) {
-                    std::vector<PeerIdentity> instances;
-                    for (const StoreEntry &entry : result.entries) {
-                        if (auto instance = decodeInstance(entry.value))
-                            instances.push_back(std::move(*instance));
-                    }
-                    events_.onInstances(std::move(instances));
-                    const bool starting = Clock::now() - started_ < startPhase;
-                    after(Loop::Instances, starting ? startPeriod : instancePeriod);
-                }));
+                     posted<WatchResult>(Loop::Instances, [this](const WatchResult &result) {
+                         std::vector<PeerIdentity> instances;
+                         for (const StoreEntry &entry : result.entries) {
+                             if (auto instance = decodeInstance(entry.value))
+                                 instances.push_back(std::move(*instance));
+                         }
+                         events_.onInstances(std::move(instances));
+                         const bool starting = Clock::now() - started_ < startPhase;
+                         after(Loop::Instances, starting ? startPeriod : instancePeriod);
+                     }));
 }
 
 void StoreFeed::leave()
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store_feed.h
@@ -1,8 +1,8 @@
 // What the gateway learns from the platform's store: routes, targets, evacuations, instances; and
 // the entry by which the other instances find this one.
 //
-// A call that fails is repeated after a growing pause with a random part; one log line tells of lost
-// contact and one of its return. What is known stays in force meanwhile.
+// A call that fails is repeated after a growing pause with a random part; one log line tells of
+// lost contact and one of its return. What is known stays in force meanwhile.
 //
 // Example:
 //
--- a/chestnutvane/process/gateway/target_registry.h
+++ b/chestnutvane/process/gateway/target_registry.h
@@ -34,7 +34,8 @@
     bool draining = false;
     Milliseconds coldRemaining{0}; // at the time of the entry
     std::uint64_t sequence = 0; // goes up with each entry of one start
-    std::int64_t startedAt = 0; // Unix milliseconds; tells two starts under one id apart, 0: unknown
+    std::int64_t startedAt =
+            0; // Unix milliseconds; tells two starts under one id apart, 0: unknown
 
     friend bool operator==(const TargetEntry &, const TargetEntry &) = default;
 };
--- a/chestnutvane/process/store.h
+++ b/chestnutvane/process/store.h
@@ -32,9 +32,9 @@
 };
 
 inline constexpr EnumName<StoreFailure> storeFailureNames[] = {
-        {StoreFailure::NotFound, "not-found"},     {StoreFailure::Conflict, "conflict"},
-        {StoreFailure::TooLarge, "too-large"},     {StoreFailure::Unavailable, "unavailable"},
-        {StoreFailure::AnswerLost, "answer-lost"}, {StoreFailure::BadAnswer, "bad-answer"},
+        {StoreFailure::NotFound, "not-found"},       {StoreFailure::Conflict, "conflict"},
+        {StoreFailure::TooLarge, "too-large"},       {StoreFailure::Unavailable, "unavailable"},
+        {StoreFailure::AnswerLost, "answer-lost"},   {StoreFailure::BadAnswer, "bad-answer"},
         {StoreFailure::HistoryGone, "history-gone"},
 };
 
--- a/chestnutvane/version/route_table_test.cc
+++ b/chestnutvane/version/route_table_test.cc
@@ -33,9 +33,9 @@
 // Guards against a short prefix hiding a longer one, whatever their order in the configuration.
 TEST(RouteTableTest, TheLongestPrefixOfTheHostWins)
 {
-    const auto table = makeTable({route("short", "a.example", "/x/"),
-                                  route("long", "a.example", "/x/y/"),
-                                  route("other", "b.example", "/x/y/z/")});
+    const auto table =
+            makeTable({route("short", "a.example", "/x/"), route("long", "a.example", "/x/y/"),
+                       route("other", "b.example", "/x/y/z/")});
     EXPECT_EQ(table->find("a.example", "/x/y/z/1")->name, "long");
     EXPECT_EQ(table->find("a.example", "/x/1")->name, "short");
     EXPECT_EQ(table->find("b.example", "/x/y/z/1")->name, "other");
--- a/testing/raw_peer.cc
+++ b/testing/raw_peer.cc
@@ -24,8 +24,7 @@
 
 } // namespace
 
-RawClient::RawClient(std::uint16_t port)
-    : io_(std::make_shared<net::io_context>()), socket_(*io_)
+RawClient::RawClient(std::uint16_t port) : io_(std::make_shared<net::io_context>()), socket_(*io_)
 {
     socket_.connect(Tcp::endpoint(net::ip::address_v4::loopback(), port));
 }
@@ -87,10 +86,8 @@
 }
 
 RawServer::RawServer(Script script)
-    : acceptor_(io_, Tcp::endpoint(net::ip::address_v4::loopback(), 0)),
-      script_(std::move(script)),
-      port_(acceptor_.local_endpoint().port()),
-      acceptThread_([this] { serve(); })
+    : acceptor_(io_, Tcp::endpoint(net::ip::address_v4::loopback(), 0)), script_(std::move(script)),
+      port_(acceptor_.local_endpoint().port()), acceptThread_([this] { serve(); })
 { }
 
 RawServer::~RawServer()
