Let one instance of a region read the store for the others

Now the first live instance of a region reads; the others hear a fingerprint of what it read with the age of the read and call only when it differs or no word came for 1.25 s. Ages are measured with CLOCK_BOOTTIME, so the word of an instance that was suspended is old. The watch went: one poll of the operator's few keys a region costs less and cannot hang on a silent connection.

--- a/chestnutvane/process/config_apply.cc
+++ b/chestnutvane/process/config_apply.cc
@@ -77,6 +77,7 @@
         return pauseOrGiveUp(ApplyReason::StoreDown, now);
     case StoreFailure::AnswerLost:
     case StoreFailure::BadAnswer:
+    case StoreFailure::HistoryGone:
         break;
     }
     mayHaveTakenEffect_ = true;
--- /dev/null
+++ b/chestnutvane/process/gateway/feed_sharing.h
@@ -0,0 +1,88 @@
+// Decides when an instance reads the platform's store itself, and when the word of another one will
+// do.
+//
+// Answers the price of calls that grows with the fleet: in each region one instance reads often and
+// tells the others a fingerprint of what it read and how long ago. An instance whose own state has
+// that fingerprint knows that it is as fresh; one with another fingerprint reads once. An instance
+// that gets no word in time reads by itself, so the death, a pause or a cut of the reader delays
+// news by the confirmation limit at most.
+//
+// Example:
+//
+//   FeedFreshness targets;
+//   targets.onOwnRead(start, fingerprint);
+//   targets.onPeer(status, now);
+//   if (isReadDue(targets, isReader, now))
+//       read();
+//
+// Pure state without I/O. Times are of BootClock, because a report of an instance that was
+// suspended must not look fresh. Not thread-safe.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "chestnutvane/base/boot_clock.h"
+#include "chestnutvane/base/time.h"
+
+namespace chestnutvane {
+
+// What an instance tells of one prefix of the store.
+struct FeedStatus
+{
+    std::uint64_t fingerprint = 0; // of the content; 0: never read
+    Milliseconds age{0}; // since the start of the read that showed or confirmed it
+
+    friend bool operator==(const FeedStatus &, const FeedStatus &) = default;
+};
+
+class FeedFreshness
+{
+public:
+    // Notes a read of this instance that was started at the time given.
+    void onOwnRead(BootTime start, std::uint64_t fingerprint);
+
+    // Takes the status of another instance.
+    void onPeer(const FeedStatus &status, BootTime now);
+
+    // What to tell the others.
+    [[nodiscard]] FeedStatus status(BootTime now) const;
+
+    // The time as of which the own content is known to have held.
+    [[nodiscard]] BootTime confirmedAt() const { return confirmedAt_; }
+
+    // Another instance has read other content after the own content was last confirmed.
+    [[nodiscard]] bool isOutdated() const { return outdated_; }
+
+    // Start of the last own read.
+    [[nodiscard]] BootTime lastRead() const { return lastRead_; }
+
+private:
+    std::uint64_t fingerprint_ = 0;
+    BootTime confirmedAt_;
+    BootTime lastRead_;
+    bool outdated_ = false;
+};
+
+// Period of the reads of a reader: a target that leaves gets nothing new within seconds.
+inline constexpr Milliseconds readerPeriod{800};
+// An instance without confirmation for longer reads by itself. Together with a read it stays below
+// the two seconds in which a target that leaves or a new configuration must be known.
+inline constexpr Milliseconds confirmationLimit{1250};
+
+// Whether to read now.
+bool isReadDue(const FeedFreshness &freshness, bool isReader, BootTime now);
+
+// Another instance of the own region, as a possible reader.
+struct ReaderCandidate
+{
+    std::string id;
+    Milliseconds age{0}; // of what it knows
+};
+
+// Whether the instance is the one that reads for its region: the first by a hash of the id among
+// those whose knowledge is fresh.
+bool isReaderOf(const std::string &self, const std::vector<ReaderCandidate> &others);
+
+} // namespace chestnutvane
--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -122,6 +122,8 @@
                  {{"instance", load.sender.id},
                   {"state", enumName(peerStateNames, load.state)},
                   {"new", isNew ? 1 : 0}});
+    if (takeFeed_ && settings_.regionOf(load.sender.zone) == settings_.regionOf(self_.zone))
+        takeFeed_(load);
     const PeerIdentity sender = load.sender;
     const auto warm = load.warm;
     gateway_.noteWarm(warm);
@@ -166,6 +168,8 @@
     report.state = state_;
     report.sequence = ++sequence_;
     gateway_.fillReport(report);
+    if (fillFeed_)
+        fillFeed_(report);
     report.warm = std::exchange(receiver.warm, {});
     const std::string datagram = encodeReport(report);
     Error ignored; // a report that is lost is replaced by the next
--- a/chestnutvane/process/gateway/fleet_link.h
+++ b/chestnutvane/process/gateway/fleet_link.h
@@ -47,6 +47,17 @@
     // The instances that the store listed last.
     [[nodiscard]] const std::map<std::string, PeerIdentity> &listed() const { return listed_; }
 
+    // Sets the functions that give and take what instances know of the store.
+    void setFeed(std::function<void(LoadReport &)> fill,
+                 std::function<void(const LoadReport &)> take)
+    {
+        fillFeed_ = std::move(fill);
+        takeFeed_ = std::move(take);
+    }
+
+    // Sends a report to the own region soon.
+    void sendSoon() { arrangeSoon(); }
+
     // Tells all other instances of a new state at once.
     void setState(PeerState state);
     [[nodiscard]] PeerState state() const { return state_; }
@@ -80,6 +91,8 @@
     bool soonArranged_ = false;
     std::map<std::string, Receiver> receivers_; // by instance id
     std::map<std::string, PeerIdentity> listed_;
+    std::function<void(LoadReport &)> fillFeed_;
+    std::function<void(const LoadReport &)> takeFeed_;
     PeerState state_ = PeerState::Starting;
     std::uint64_t sequence_ = 0;
     std::array<char, 65536> buffer_{};
--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -14,8 +14,8 @@
 
 // Time that a target's own answer at the deadline may take on its way back.
 constexpr Milliseconds limitMargin{60};
-// Share by which old failures of a target lose weight each second, so that it is tried again.
-constexpr double fadePerSecond = 0.1;
+// Share by which old failures of a target lose weight with each tick, so that it is tried again.
+constexpr double fadePerTick = 0.05;
 
 std::optional<Milliseconds> parseMilliseconds(std::string_view text)
 {
@@ -190,8 +190,8 @@
 void Gateway::tick()
 {
     for (const auto &[hash, target] : registry_.all()) {
-        target->slowness += (1 - target->slowness) * fadePerSecond;
-        target->failureRate *= 1 - fadePerSecond;
+        target->slowness += (1 - target->slowness) * fadePerTick;
+        target->failureRate *= 1 - fadePerTick;
     }
     pool_.expire(Clock::now());
     fleet_.expire(Clock::now());
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -102,7 +102,7 @@
     // Requests that are not answered yet.
     [[nodiscard]] std::size_t pendingRequests() const { return pending_; }
 
-    // Forgets old failures of targets step by step. Call each second.
+    // Forgets old failures of targets step by step. Call twice a second.
     void tick();
 
 private:
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -64,6 +64,14 @@
     if (!isOk(link))
         return error(link);
     link_ = value(std::move(link));
+    link_->setFeed(
+            [this](LoadReport &report) {
+                report.targetsFeed = feed_.targetsStatus();
+                report.operatorFeed = feed_.operatorStatus();
+            },
+            [this](const LoadReport &report) {
+                feed_.onPeer(report.targetsFeed, report.operatorFeed);
+            });
     const auto open = [this](std::shared_ptr<CallerListener> &listener, const std::string &endpoint,
                              const CallHandler &handler,
                              const std::function<CallerConnectionLimits()> &limits)
@@ -124,6 +132,7 @@
     events.onInstances = [this](const std::vector<PeerIdentity> &instances) {
         link_->keepOnly(instances);
     };
+    events.onChanged = [this] { link_->sendSoon(); };
     return events;
 }
 
@@ -235,10 +244,26 @@
     });
 }
 
+void GatewayProcess::chooseReader()
+{
+    std::vector<ReaderCandidate> others;
+    const TimePoint now = Clock::now();
+    for (const auto &[id, peer] : gateway_.fleet().peers()) {
+        const LoadReport &report = peer.report;
+        if (settings_.regionOf(report.sender.zone) != settings_.regionOf(self_.zone)
+            || report.state != PeerState::Serving || now - peer.heard > FleetView::aliveLimit)
+            continue;
+        const auto since = std::chrono::duration_cast<Milliseconds>(now - peer.heard);
+        others.push_back({id, report.targetsFeed.age + since});
+    }
+    feed_.setReader(isReaderOf(self_.id, others));
+}
+
 void GatewayProcess::tick()
 {
     gateway_.tick();
-    constexpr std::chrono::seconds period{1};
+    chooseReader();
+    constexpr Milliseconds period{500};
     tickTimer_.expires_after(period);
     tickTimer_.async_wait([this](const boost::system::error_code &ended) {
         if (!ended)
--- a/chestnutvane/process/gateway/gateway_process.h
+++ b/chestnutvane/process/gateway/gateway_process.h
@@ -60,6 +60,7 @@
     [[nodiscard]] FeedEvents feedEvents();
     void updateState();
     void waitForSignal();
+    void chooseReader();
     void tick();
     void checkEnd();
 
--- a/chestnutvane/process/gateway/load_report.cc
+++ b/chestnutvane/process/gateway/load_report.cc
@@ -8,7 +8,7 @@
 using Json = nlohmann::json;
 
 // Raised with each change that older instances cannot read.
-constexpr int formatVersion = 1;
+constexpr int formatVersion = 2;
 
 Json encodeCounts(const std::map<std::uint64_t, int> &counts)
 {
@@ -37,11 +37,13 @@
         warm.push_back(target);
         warm.push_back(object);
     }
-    const Json list = Json::array({formatVersion, report.sender.id, report.sender.incarnation,
-                                   report.sender.zone, report.sender.callerAddress,
-                                   report.sender.reportAddress, static_cast<int>(report.state),
-                                   report.sequence, report.revision, encodeCounts(report.inFlight),
-                                   encodeCounts(report.queued), warm});
+    const Json list = Json::array(
+            {formatVersion, report.sender.id, report.sender.incarnation, report.sender.zone,
+             report.sender.callerAddress, report.sender.reportAddress,
+             static_cast<int>(report.state), report.sequence, report.revision,
+             encodeCounts(report.inFlight), encodeCounts(report.queued), warm,
+             report.targetsFeed.fingerprint, report.targetsFeed.age.count(),
+             report.operatorFeed.fingerprint, report.operatorFeed.age.count()});
     std::string text;
     Json::to_cbor(list, text);
     return text;
@@ -66,6 +68,8 @@
         const Json &warm = list.at(11);
         for (std::size_t i = 0; i + 1 < warm.size(); i += 2)
             report.warm.push_back({warm.at(i), warm.at(i + 1)});
+        report.targetsFeed = {list.at(12), Milliseconds(list.at(13).get<Milliseconds::rep>())};
+        report.operatorFeed = {list.at(14), Milliseconds(list.at(15).get<Milliseconds::rep>())};
         return report;
     } catch (const Json::exception &failure) {
         return ReportError{failure.what()};
--- a/chestnutvane/process/gateway/load_report.h
+++ b/chestnutvane/process/gateway/load_report.h
@@ -23,6 +23,7 @@
 #include "chestnutvane/base/enum_names.h"
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/base/time.h"
+#include "chestnutvane/process/gateway/feed_sharing.h"
 
 namespace chestnutvane {
 
@@ -65,6 +66,8 @@
     PeerState state = PeerState::Starting;
     std::uint64_t sequence = 0; // goes up with each report of an incarnation
     std::uint64_t revision = 0; // of the configuration in force
+    FeedStatus targetsFeed; // what the sender knows of the registered targets
+    FeedStatus operatorFeed; // and of the operator's keys
     std::map<std::uint64_t, int> inFlight; // attempts by target hash, without those at 0
     std::map<std::uint64_t, int> queued; // waiting requests by hash of the service
     std::vector<WarmNote> warm; // since the last report to the receiver
--- a/chestnutvane/process/gateway/load_report_test.cc
+++ b/chestnutvane/process/gateway/load_report_test.cc
@@ -16,6 +16,8 @@
     result.state = PeerState::Serving;
     result.sequence = sequence;
     result.revision = 3;
+    result.targetsFeed = {11, Milliseconds(120)};
+    result.operatorFeed = {12, Milliseconds(340)};
     result.inFlight = std::move(inFlight);
     result.queued = {{5, 2}};
     result.warm = {{1, 100}, {2, 200}};
--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include "chestnutvane/base/hash.h"
 #include "chestnutvane/process/log.h"
 
 namespace chestnutvane {
@@ -12,10 +13,6 @@
 
 using Json = nlohmann::json;
 
-// A target that leaves gets nothing new within seconds, so its entry is read this often.
-constexpr Milliseconds targetPeriod{800};
-// The longest wait of a watch. It is short because a path that goes silent shows only at its end.
-constexpr Milliseconds watchWait{2000};
 // The entry of an instance that died is gone after this time.
 constexpr Milliseconds leaseTtl{4000};
 constexpr Milliseconds leaseRenewal{1300};
@@ -34,6 +31,17 @@
     return static_cast<std::size_t>(loop);
 }
 
+// All of an entry but what changes with each heartbeat.
+std::string describe(const TargetEntry &entry)
+{
+    std::string text;
+    for (const auto &part : {entry.id, entry.service, entry.address, entry.zone, entry.version})
+        text += part + ' ';
+    return text + std::to_string(entry.slots) + (entry.draining ? " draining " : " ready ")
+            + (entry.coldRemaining.count() > 0 ? "cold " : "") + std::to_string(entry.startedAt)
+            + '\n';
+}
+
 std::string encodeInstance(const PeerIdentity &peer)
 {
     return Json{{"id", peer.id},
@@ -90,9 +98,8 @@
     loops_[indexOf(loop)].callStart = Clock::now();
     switch (loop) {
     case Loop::Operator:
-        return operatorKnown_ ? watchOperator() : readOperator();
     case Loop::Targets:
-        return readTargets();
+        return check(loop);
     case Loop::Lease:
         return renewLease();
     case Loop::Instances:
@@ -146,53 +153,92 @@
         if (other != loop && loops_[indexOf(other)].waitsAfterFailure)
             after(other, Milliseconds{0});
     }
-    // A watch may be waiting on a connection that went silent, so the news is read beside it.
-    store_.list(format_.operatorPrefix, [this](Result<WatchResult, StoreError> result) {
-        boost::asio::post(io_, [this, result = std::move(result)] {
-            if (isOk(result))
-                takeOperator(value(result));
-            else // the loops report and repeat it
-                logEvent(Event::StoreFailed,
-                         {{"reason", "read-after-return"}, {"detail", error(result).detail}});
+}
+
+FeedFreshness &StoreFeed::freshness(Loop loop)
+{
+    return loop == Loop::Operator ? operatorFreshness_ : targetsFreshness_;
+}
+
+bool StoreFeed::isDue(Loop loop)
+{
+    if (loop == Loop::Targets && keptTargets_ && Clock::now() >= regained_ + returnOfEntries)
+        return true; // this list decides about the targets that were kept
+    return isReadDue(freshness(loop), isReader_, BootClock::now());
+}
+
+void StoreFeed::check(Loop loop)
+{
+    LoopState &state = loops_[indexOf(loop)];
+    if (state.busy)
+        return;
+    if (isDue(loop)) {
+        state.busy = true;
+        state.callStart = Clock::now();
+        state.readStart = BootClock::now();
+        const auto &prefix = loop == Loop::Operator ? format_.operatorPrefix : format_.targetPrefix;
+        return store_.list(prefix, [this, loop](Result<WatchResult, StoreError> result) {
+            boost::asio::post(io_,
+                              [this, loop, result = std::move(result)] { onList(loop, result); });
         });
-    });
+    }
+    const Milliseconds limit = isReader_ ? readerPeriod : confirmationLimit;
+    const auto dueIn = std::chrono::duration_cast<Milliseconds>(freshness(loop).confirmedAt()
+                                                                + limit - BootClock::now());
+    Milliseconds pause = std::clamp(dueIn + Milliseconds{1}, Milliseconds{1}, limit);
+    if (loop == Loop::Targets && keptTargets_) {
+        const auto untilFinal = std::chrono::duration_cast<Milliseconds>(regained_ + returnOfEntries
+                                                                         - Clock::now());
+        pause = std::clamp(untilFinal + Milliseconds{1}, Milliseconds{1}, pause);
+    }
+    after(loop, pause);
 }
 
-void StoreFeed::readOperator()
+void StoreFeed::onList(Loop loop, const Result<WatchResult, StoreError> &result)
 {
-    store_.list(format_.operatorPrefix,
-                posted<WatchResult>(Loop::Operator, [this](const WatchResult &result) {
-                    operatorKnown_ = true;
-                    takeOperator(result);
-                    run(Loop::Operator);
-                }));
+    LoopState &state = loops_[indexOf(loop)];
+    state.busy = false;
+    if (!isOk(result))
+        return retry(loop, error(result));
+    const BootTime start = state.readStart;
+    succeeded(loop);
+    const FeedStatus before = freshness(loop).status(start);
+    const std::uint64_t content =
+            loop == Loop::Operator ? takeOperator(value(result)) : takeTargets(value(result));
+    freshness(loop).onOwnRead(start, content);
+    if (content != before.fingerprint)
+        events_.onChanged();
+    check(loop);
 }
 
-void StoreFeed::watchOperator()
+void StoreFeed::onPeer(const FeedStatus &targets, const FeedStatus &operatorKeys)
 {
-    store_.watch(format_.operatorPrefix, operatorVersion_, watchWait,
-                 [this](Result<WatchResult, StoreError> result) {
-                     boost::asio::post(io_, [this, result = std::move(result)] {
-                         if (!isOk(result)) {
-                             operatorKnown_ = false; // the next call reads everything again
-                             if (error(result).failure == StoreFailure::HistoryGone)
-                                 return run(Loop::Operator);
-                             return retry(Loop::Operator, error(result));
-                         }
-                         succeeded(Loop::Operator);
-                         if (!value(result).unchanged)
-                             takeOperator(value(result));
-                         operatorVersion_ = std::max(operatorVersion_, value(result).version);
-                         run(Loop::Operator);
-                     });
-                 });
+    const BootTime now = BootClock::now();
+    targetsFreshness_.onPeer(targets, now);
+    operatorFreshness_.onPeer(operatorKeys, now);
+    for (const Loop loop : {Loop::Operator, Loop::Targets}) {
+        if (freshness(loop).isOutdated() && !loops_[indexOf(loop)].waitsAfterFailure)
+            check(loop);
+    }
 }
 
-void StoreFeed::takeOperator(const WatchResult &result)
+FeedStatus StoreFeed::targetsStatus() const
+{
+    return targetsFreshness_.status(BootClock::now());
+}
+
+FeedStatus StoreFeed::operatorStatus() const
+{
+    return operatorFreshness_.status(BootClock::now());
+}
+
+// Returns a fingerprint of the content.
+std::uint64_t StoreFeed::takeOperator(const WatchResult &result)
 {
-    operatorVersion_ = std::max(operatorVersion_, result.version);
     std::set<std::string> evacuated;
+    std::string content;
     for (const StoreEntry &entry : result.entries) {
+        content += entry.key + ' ' + std::to_string(entry.version) + '\n';
         if (entry.key.starts_with(format_.evacuationPrefix))
             evacuated.insert(entry.key.substr(format_.evacuationPrefix.size()));
         if (entry.key != format_.routesKey || entry.value == routesText_)
@@ -220,30 +266,20 @@
         evacuated_ = evacuated;
         events_.onEvacuated(std::move(evacuated));
     }
+    return hash64(content);
 }
 
-void StoreFeed::readTargets()
-{
-    store_.list(format_.targetPrefix,
-                posted<WatchResult>(Loop::Targets, [this](const WatchResult &result) {
-                    takeTargets(result);
-                    // The first list after which missing entries are gone is read without delay.
-                    const auto untilFinal = std::chrono::duration_cast<Milliseconds>(
-                            regained_ + returnOfEntries - Clock::now());
-                    const bool finalIsNext =
-                            untilFinal > Milliseconds{0} && untilFinal < targetPeriod;
-                    after(Loop::Targets, finalIsNext ? untilFinal + Milliseconds{1} : targetPeriod);
-                }));
-}
-
-void StoreFeed::takeTargets(const WatchResult &result)
+// Returns a fingerprint of the content, which a heartbeat alone does not change.
+std::uint64_t StoreFeed::takeTargets(const WatchResult &result)
 {
+    std::string content;
     std::vector<TargetEntry> targets;
     std::set<std::string> ignored;
     for (const StoreEntry &entry : result.entries) {
         const std::string id = entry.key.substr(format_.targetPrefix.size());
         auto target = format_.decodeTarget(id, entry.value);
         if (isOk(target)) {
+            content += describe(value(target));
             targets.push_back(value(std::move(target)));
             continue;
         }
@@ -255,8 +291,10 @@
                       {"detail", error(target).detail}});
     }
     ignoredTargets_ = std::move(ignored);
-    const bool wasAway = regained_ != TimePoint{} && Clock::now() - regained_ < returnOfEntries;
-    events_.onTargets(std::move(targets), wasAway ? RemovalPolicy::Keep : RemovalPolicy::Immediate);
+    keptTargets_ = regained_ != TimePoint{} && Clock::now() - regained_ < returnOfEntries;
+    events_.onTargets(std::move(targets),
+                      keptTargets_ ? RemovalPolicy::Keep : RemovalPolicy::Immediate);
+    return hash64(content);
 }
 
 void StoreFeed::renewLease()
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store_feed.h
@@ -23,6 +23,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "chestnutvane/process/gateway/feed_sharing.h"
 #include "chestnutvane/process/gateway/load_report.h"
 #include "chestnutvane/process/gateway/target_registry.h"
 #include "chestnutvane/process/store.h"
@@ -71,6 +72,7 @@
     std::function<void(std::set<std::string>)> onEvacuated;
     std::function<void(std::vector<TargetEntry>, RemovalPolicy)> onTargets;
     std::function<void(std::vector<PeerIdentity>)> onInstances;
+    std::function<void()> onChanged; // the content of a prefix has changed
 };
 
 class StoreFeed
@@ -81,6 +83,16 @@
 
     void start();
 
+    // Takes what another instance of the region knows.
+    void onPeer(const FeedStatus &targets, const FeedStatus &operatorKeys);
+
+    // Whether this instance reads for its region.
+    void setReader(bool isReader) { isReader_ = isReader; }
+
+    // What this instance knows, for reports.
+    [[nodiscard]] FeedStatus targetsStatus() const;
+    [[nodiscard]] FeedStatus operatorStatus() const;
+
     // Removes the own entry, so that callers are sent elsewhere.
     void leave();
 
@@ -96,11 +108,12 @@
     void run(Loop loop);
     void retry(Loop loop, const StoreError &failure);
     void succeeded(Loop loop);
-    void readOperator();
-    void watchOperator();
-    void takeOperator(const WatchResult &result);
-    void readTargets();
-    void takeTargets(const WatchResult &result);
+    [[nodiscard]] FeedFreshness &freshness(Loop loop);
+    [[nodiscard]] bool isDue(Loop loop);
+    void check(Loop loop);
+    void onList(Loop loop, const Result<WatchResult, StoreError> &result);
+    std::uint64_t takeOperator(const WatchResult &result);
+    std::uint64_t takeTargets(const WatchResult &result);
     void renewLease();
     void writeEntry();
     void replaceLease();
@@ -114,6 +127,8 @@
         int failures = 0;
         bool waitsAfterFailure = false;
         TimePoint callStart;
+        BootTime readStart;
+        bool busy = false; // a read is running
     };
 
     boost::asio::io_context &io_;
@@ -123,8 +138,10 @@
     FeedEvents events_;
     std::array<LoopState, 4> loops_;
     std::mt19937 random_;
-    std::uint64_t operatorVersion_ = 0;
-    bool operatorKnown_ = false;
+    FeedFreshness operatorFreshness_;
+    FeedFreshness targetsFreshness_;
+    bool keptTargets_ = false; // targets are in use that the last list did not have
+    bool isReader_ = true;
     std::string routesText_; // of the revision in force
     std::set<std::string> evacuated_;
     std::set<std::string> ignoredTargets_; // logged once for each change
