--- a/chestnutvane/connection/caller_connection.cc
+++ b/chestnutvane/connection/caller_connection.cc
@@ -32,6 +32,7 @@
 
     void start();
     void closeIfIdle();
+    void close();
 
 private:
     enum class State {
@@ -51,7 +52,6 @@
     void answer(HttpResponseMessage response);
     void onAnswered(const Error &failure, bool close);
     void linger();
-    void close();
     void setTimer(Milliseconds time);
     void onTimer();
 
@@ -71,7 +71,7 @@
     bool requestKeepsAlive_ = true;
 };
 
-class Listener : public CallerListener, public std::enable_shared_from_this<Listener>
+class Listener : public std::enable_shared_from_this<Listener>
 {
 public:
     Listener(net::io_context &io, CallHandler handler,
@@ -83,7 +83,7 @@
     std::optional<std::string> open(const std::string &endpoint);
     void accept();
 
-    void startClosing() override
+    void startClosing()
     {
         closing_ = true;
         const auto connections = connections_;
@@ -91,13 +91,16 @@
             connection->closeIfIdle();
     }
 
-    void stopAccepting() override
+    void stopAccepting()
     {
         Error ignored; // closing an acceptor that is already closed is no failure
         acceptor_.close(ignored);
     }
 
-    [[nodiscard]] std::size_t openConnections() const override { return connections_.size(); }
+    [[nodiscard]] std::size_t openConnections() const { return connections_.size(); }
+
+    // Closes the acceptor and all connections.
+    void closeAll();
 
     void remove(const std::shared_ptr<Connection> &connection) { connections_.erase(connection); }
     [[nodiscard]] bool isClosing() const { return closing_; }
@@ -131,6 +134,15 @@
     return failure ? std::optional(failure.message()) : std::nullopt;
 }
 
+void Listener::closeAll()
+{
+    stopAccepting();
+    retryTimer_.cancel();
+    const auto connections = connections_;
+    for (const auto &connection : connections)
+        connection->close();
+}
+
 void Listener::accept()
 {
     acceptor_.async_accept([self = shared_from_this()](const Error &failure, Tcp::socket socket) {
@@ -374,6 +386,27 @@
         close();
 }
 
+// What the user of a listener holds: its end closes the connections, which keep the listener alive.
+class ListenerHandle : public CallerListener
+{
+public:
+    explicit ListenerHandle(std::shared_ptr<Listener> listener) : listener_(std::move(listener)) { }
+    ~ListenerHandle() override { listener_->closeAll(); }
+
+    ListenerHandle(const ListenerHandle &) = delete;
+    ListenerHandle &operator=(const ListenerHandle &) = delete;
+
+    void startClosing() override { listener_->startClosing(); }
+    void stopAccepting() override { listener_->stopAccepting(); }
+    [[nodiscard]] std::size_t openConnections() const override
+    {
+        return listener_->openConnections();
+    }
+
+private:
+    std::shared_ptr<Listener> listener_;
+};
+
 } // namespace
 } // namespace internal
 
@@ -385,7 +418,8 @@
     if (auto failure = listener->open(endpoint))
         return ListenError{endpoint, *failure};
     listener->accept();
-    return std::shared_ptr<CallerListener>(listener);
+    return std::shared_ptr<CallerListener>(
+            std::make_shared<internal::ListenerHandle>(std::move(listener)));
 }
 
 } // namespace chestnutvane
--- a/chestnutvane/connection/caller_connection.h
+++ b/chestnutvane/connection/caller_connection.h
@@ -53,7 +53,7 @@
     std::string detail;
 };
 
-// The open connections of one listener.
+// The open connections of one listener. The end of the object closes all of them.
 class CallerListener
 {
 public:
--- a/testing/raw_peer.cc
+++ b/testing/raw_peer.cc
@@ -29,6 +29,12 @@
     socket_.connect(Tcp::endpoint(net::ip::address_v4::loopback(), port));
 }
 
+RawClient::RawClient(const std::string &ip, std::uint16_t port)
+    : io_(std::make_shared<net::io_context>()), socket_(*io_)
+{
+    socket_.connect(Tcp::endpoint(net::ip::make_address(ip), port));
+}
+
 RawClient::RawClient(std::shared_ptr<net::io_context> io, Tcp::socket socket)
     : io_(std::move(io)), socket_(std::move(socket))
 { }
@@ -59,6 +65,22 @@
     }
 }
 
+std::string RawClient::read(std::size_t bytes, std::chrono::milliseconds limit)
+{
+    const auto until = Timer::now() + limit;
+    while (buffer_.size() < bytes && waitReadable(socket_, until)) {
+        char piece[4096];
+        Error failure;
+        const std::size_t count = socket_.read_some(net::buffer(piece), failure);
+        if (failure)
+            break;
+        buffer_.append(piece, count);
+    }
+    std::string text = buffer_.substr(0, bytes);
+    buffer_.erase(0, text.size());
+    return text;
+}
+
 bool RawClient::waitForClose(std::chrono::milliseconds limit)
 {
     const auto until = Timer::now() + limit;
--- a/testing/raw_peer.h
+++ b/testing/raw_peer.h
@@ -28,6 +28,9 @@
 public:
     // Connects to 127.0.0.1.
     explicit RawClient(std::uint16_t port);
+
+    // Connects to an IPv4 address. Throws boost::system::system_error if nobody listens.
+    RawClient(const std::string &ip, std::uint16_t port);
     RawClient(std::shared_ptr<net::io_context> io, Tcp::socket socket);
 
     void send(const std::string &bytes);
@@ -36,6 +39,9 @@
     std::string readUntil(const std::string &mark,
                           std::chrono::milliseconds limit = std::chrono::seconds(5));
 
+    // Reads a number of bytes, or fewer if the peer closes or the time is over.
+    std::string read(std::size_t bytes, std::chrono::milliseconds limit = std::chrono::seconds(5));
+
     // Waits for the peer's close or reset; false if it did not come in time.
     bool waitForClose(std::chrono::milliseconds limit = std::chrono::seconds(5));
 
