--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -76,7 +76,10 @@
         TimePoint limit = pending->limitAt;
         if (end_)
             limit = std::min(limit, *end_);
-        const auto work = times_.estimate(pending->route->name, service, pending->route->aim);
+        auto work = times_.estimate(pending->route->name, service, pending->route->aim);
+        constexpr double bytesPerKilobyte = 1000;
+        work.bodyKilobytes =
+                static_cast<double>(pending->call.request->body().size()) / bytesPerKilobyte;
         const PlacementLimits limits{pending->aimAt - now - callerPath, limit - now};
         const Placement placement = place(candidates, work, limits, placement_);
         if (placement.action == PlacementAction::Wait) {
--- a/chestnutvane/process/gateway/placement.cc
+++ b/chestnutvane/process/gateway/placement.cc
@@ -46,7 +46,8 @@
                 Seconds(expected).count() / (1 - std::min(candidate.failureRate, maxFailureRate));
         score += Seconds(work.cold).count() * settings.rankShare * candidate.rank;
         if (!candidate.ownRegion)
-            score += Seconds(settings.otherRegion).count();
+            score += Seconds(settings.otherRegion).count()
+                    + Seconds(settings.otherRegionPerKilobyte).count() * work.bodyKilobytes;
         if (expected > limits.aimLeft)
             score += Seconds(settings.lateness).count();
         if (candidate.unused && candidate.ownRegion)
--- a/chestnutvane/process/gateway/placement.h
+++ b/chestnutvane/process/gateway/placement.h
@@ -45,6 +45,7 @@
     Duration warm{0};
     Duration cold{0};
     Duration mean{0}; // of the requests that hold the slots
+    double bodyKilobytes = 0; // that the request carries
     bool measured = true; // false: assumed, as no request of the route has been answered yet
 };
 
@@ -65,8 +66,11 @@
     // Share of the cold run time added over the range of ranks, so that an object which no target
     // holds goes to the same few targets on all instances.
     double rankShare = 0.3;
-    // Added for a target of another region, for the traffic between regions.
+    // Added for a target of another region, for the traffic between regions: for each request, and
+    // for each kilobyte of its body. A small request goes where it is answered sooner; an upload of
+    // 60 kB leaves its region only if it would otherwise be late.
     Duration otherRegion = std::chrono::milliseconds(15);
+    Duration otherRegionPerKilobyte = std::chrono::milliseconds(3);
     // Added for an expected answer after the aim.
     Duration lateness = std::chrono::milliseconds(200);
 };
--- a/chestnutvane/process/gateway/placement_test.cc
+++ b/chestnutvane/process/gateway/placement_test.cc
@@ -68,6 +68,22 @@
     EXPECT_EQ(spilled.action, PlacementAction::Send);
 }
 
+// Guards against uploads that fill the link between regions although their own region can answer
+// them in time.
+TEST(PlacementTest, ALargeBodyLeavesItsRegionOnlyToMeetItsAim)
+{
+    Candidate far = candidate(true, 0);
+    far.ownRegion = false;
+    far.roundTrip = 24ms;
+    WorkEstimate upload = work;
+    upload.bodyKilobytes = 60;
+    const std::vector<Candidate> shortQueue{candidate(true, 5), far};
+    EXPECT_EQ(place(shortQueue, work, limits, {}).index, 1U);
+    EXPECT_EQ(place(shortQueue, upload, limits, {}).index, 0U);
+    const std::vector<Candidate> longQueue{candidate(true, 14), far};
+    EXPECT_EQ(place(longQueue, upload, limits, {}).index, 1U);
+}
+
 // Guards against requests that wait to their time limit although no target can answer in time.
 TEST(PlacementTest, ARequestThatCannotBeAnsweredInTimeIsRefusedAtOnce)
 {
@@ -80,7 +96,8 @@
 // none was answered, so nothing was ever measured.
 TEST(PlacementTest, AnAssumedRunTimeDoesNotRefuseWhileASlotIsFree)
 {
-    WorkEstimate assumed{350ms, 1000ms, 120ms, false};
+    WorkEstimate assumed{350ms, 1000ms, 120ms};
+    assumed.measured = false;
     const PlacementLimits shortLimit{400ms, 500ms};
     const std::vector<Candidate> free{candidate(false, 0)};
     EXPECT_EQ(place(free, assumed, shortLimit, {}).action, PlacementAction::Send);
--- a/chestnutvane/process/gateway/work_times.cc
+++ b/chestnutvane/process/gateway/work_times.cc
@@ -50,7 +50,9 @@
     const auto duration = [](double seconds) {
         return std::chrono::duration_cast<Duration>(Seconds(seconds));
     };
-    return {duration(warm), duration(cold), duration(mean), measured};
+    WorkEstimate work{duration(warm), duration(cold), duration(mean)};
+    work.measured = measured;
+    return work;
 }
 
 } // namespace chestnutvane
