--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -95,6 +95,10 @@
     request.limit = pending->limitAt + std::chrono::seconds(1); // the request's own timer is first
     request.maxAnswerBytes = maxAnswerBytes;
     request.maxIdle = maxIdleConnection;
+    metrics_.increment("vane_gateway_sends_total",
+                       {{"service", pending->service},
+                        {"region", target->region},
+                        {"warm", candidate.warm ? "yes" : "no"}});
     logEvent(Event::RequestRouted,
              {{"request", pending->id},
               {"route", pending->route->name},
@@ -241,6 +245,7 @@
     if (triedNow && mayRepeat && attemptsLeft && now < pending->limitAt) {
         const bool needsBudget = pending->arrivals > 0;
         if (!needsBudget || retryWindow(pending->service).take(now, fleet_.peers().size() + 1)) {
+            metrics_.increment("vane_gateway_retries_total", {{"reason", std::string(reason)}});
             logEvent(Event::RequestRetried,
                      {{"request", pending->id},
                       {"reason", reason},
@@ -271,6 +276,8 @@
               {"target", pending->target->entry.id},
               {"arrivals", pending->arrivals},
               {"ms", toMilliseconds(Clock::now() - pending->call.arrival)}});
+    metrics_.increment("vane_gateway_requests_total",
+                       {{"route", pending->route->name}, {"result", std::string(outcome)}});
     eraseConnectionHeaders(message);
     finish(pending, std::move(message));
 }
@@ -290,6 +297,8 @@
               {"outcome", "not-run"},
               {"arrivals", pending->arrivals},
               {"ms", toMilliseconds(Clock::now() - pending->call.arrival)}});
+    metrics_.increment("vane_gateway_requests_total",
+                       {{"route", pending->route->name}, {"result", "refused"}});
     finish(pending, std::move(message));
 }
 
@@ -302,6 +311,8 @@
               {"outcome", "unknown"},
               {"arrivals", pending->arrivals},
               {"ms", toMilliseconds(Clock::now() - pending->call.arrival)}});
+    metrics_.increment("vane_gateway_requests_total",
+                       {{"route", pending->route->name}, {"result", "failed"}});
     finish(pending, HttpResponseMessage(status, 11));
 }
 
--- a/chestnutvane/process/gateway/gateway_settings.cc
+++ b/chestnutvane/process/gateway/gateway_settings.cc
@@ -54,7 +54,7 @@
 
 std::string storeZones(GatewaySettings &settings, const std::string &text)
 {
-    const std::string allowed = "ZONE=REGION, several separated by \",\"";
+    std::string allowed = "ZONE=REGION, several separated by \",\"";
     std::string_view rest = text;
     while (!rest.empty()) {
         const auto comma = rest.find(',');
