Bound the reports between instances, and log waits and the inputs of refusals

An instance now sends about 250 reports a second to its region and 100 to the others, whatever their number.

Tried and reverted: waits that look longer the longer a request has waited, against requests that wait to their aim for one busy target.

--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -10,10 +10,6 @@
 using Udp = net::ip::udp;
 using Error = boost::system::error_code;
 
-// Period of the reports to all instances. FleetView::aliveLimit allows for nine lost in a row.
-constexpr Milliseconds reportPeriod{200};
-// Changes within this time go out in one report: it is below the run time of any request.
-constexpr Milliseconds gatherTime{4};
 // Notes above this number would not fit into one datagram of an Ethernet frame; the oldest go
 // first.
 constexpr std::size_t maxWarmNotes = 50;
@@ -30,6 +26,21 @@
 
 } // namespace
 
+ReportPace reportPace(std::size_t inRegion, std::size_t elsewhere)
+{
+    const auto spread = [](std::size_t receivers, int perSecond) {
+        return Milliseconds(static_cast<Milliseconds::rep>(receivers) * 1000 / perSecond);
+    };
+    ReportPace pace;
+    pace.gather =
+            std::clamp(spread(inRegion, reportsPerSecondInRegion), shortestGather, shortestPeriod);
+    pace.inRegion =
+            std::clamp(spread(inRegion, reportsPerSecondInRegion), shortestPeriod, longestPeriod);
+    pace.elsewhere =
+            std::clamp(spread(elsewhere, reportsPerSecondElsewhere), shortestPeriod, longestPeriod);
+    return pace;
+}
+
 FleetLink::FleetLink(net::io_context &io, PeerIdentity self, const GatewaySettings &settings,
                      Gateway &gateway)
     : self_(std::move(self)), settings_(settings), gateway_(gateway), socket_(io), tickTimer_(io),
@@ -149,7 +160,7 @@
 {
     if (std::exchange(soonArranged_, true))
         return;
-    soonTimer_.expires_after(gatherTime);
+    soonTimer_.expires_after(pace().gather);
     soonTimer_.async_wait([this](const Error &ended) {
         soonArranged_ = false;
         if (ended)
@@ -177,6 +188,14 @@
     receiver.sent = Clock::now();
 }
 
+ReportPace FleetLink::pace() const
+{
+    const auto inRegion = static_cast<std::size_t>(
+            std::count_if(receivers_.begin(), receivers_.end(),
+                          [](const auto &entry) { return entry.second.ownRegion; }));
+    return reportPace(inRegion, receivers_.size() - inRegion);
+}
+
 void FleetLink::setState(PeerState state)
 {
     state_ = state;
@@ -187,12 +206,13 @@
 void FleetLink::tick()
 {
     const TimePoint now = Clock::now();
+    const ReportPace current = pace();
     for (auto &[id, receiver] : receivers_) {
-        if (now - receiver.sent >= reportPeriod)
+        if (now - receiver.sent >= (receiver.ownRegion ? current.inRegion : current.elsewhere))
             sendTo(receiver);
     }
     constexpr int ticksPerPeriod = 2;
-    tickTimer_.expires_after(reportPeriod / ticksPerPeriod);
+    tickTimer_.expires_after(shortestPeriod / ticksPerPeriod);
     tickTimer_.async_wait([this](const Error &ended) {
         if (!ended)
             tick();
--- a/chestnutvane/process/gateway/fleet_link.h
+++ b/chestnutvane/process/gateway/fleet_link.h
@@ -27,6 +27,28 @@
 
 namespace chestnutvane {
 
+// How often reports are sent.
+struct ReportPace
+{
+    Milliseconds gather{0}; // changes within this time go out in one report to the own region
+    Milliseconds inRegion{0}; // the longest time between two reports to an instance of the region
+    Milliseconds elsewhere{0}; // and to one of another region
+};
+
+// Reports that one instance sends in a second, at most about. At 600 bytes they take an eighth of a
+// link of 10 Mbit/s, the narrowest of the platform; without a bound, 27 instances in a region sent
+// 13 Mbit/s each.
+inline constexpr int reportsPerSecondInRegion = 250;
+inline constexpr int reportsPerSecondElsewhere = 100;
+// A change is news for requests that come after it, so it need not go out faster than this.
+inline constexpr Milliseconds shortestGather{4};
+inline constexpr Milliseconds shortestPeriod{200};
+// Below half of FleetView::aliveLimit, so that one lost report declares no instance dead.
+inline constexpr Milliseconds longestPeriod{900};
+
+// The pace for a number of other instances in the own region and elsewhere.
+ReportPace reportPace(std::size_t inRegion, std::size_t elsewhere);
+
 class FleetLink
 {
 public:
@@ -81,6 +103,7 @@
     void sendTo(Receiver &receiver);
     void tick();
     void arrangeSoon();
+    [[nodiscard]] ReportPace pace() const;
 
     PeerIdentity self_;
     const GatewaySettings &settings_;
--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -143,6 +143,7 @@
     if (pending->exchange) {
         pending->exchange->cancel();
         ++pending->runs;
+        ++pending->arrivals;
         release(pending);
         schedulePump(pending->service);
     } else {
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -62,6 +62,10 @@
     bool sentWarm = false;
     bool refusedBesideRoom = false; // the last target refused it although it had a free slot
     WorkEstimate sentWork;
+    Duration expected{0}; // time to the answer by the last look at the targets
+    std::size_t candidates = 0; // targets at that look
+    std::size_t queued = 0; // requests of the service that waited then
+    bool waitLogged = false;
     net::steady_timer limitTimer;
     bool done = false;
 };
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -296,6 +296,12 @@
               {"reason", reason},
               {"outcome", "not-run"},
               {"arrivals", pending->arrivals},
+              {"targets", pending->candidates},
+              {"queued", pending->queued},
+              {"expected-ms", toMilliseconds(pending->expected)},
+              {"aim-left-ms", toMilliseconds(pending->aimAt - Clock::now())},
+              {"revision", pending->table->revision()},
+              {"retry-after-ms", toMilliseconds(wait)},
               {"ms", toMilliseconds(Clock::now() - pending->call.arrival)}});
     metrics_.increment("vane_gateway_requests_total",
                        {{"route", pending->route->name}, {"result", "refused"}});
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -29,6 +29,22 @@
             != route.homeRegions.end();
 }
 
+// Logs a request that waits, once.
+void logWait(PendingRequest &pending, const Target &target, const Candidate &candidate)
+{
+    if (std::exchange(pending.waitLogged, true))
+        return;
+    logEvent(Event::RequestWaits,
+             {{"request", pending.id},
+              {"target", target.entry.id},
+              {"warm", candidate.warm ? 1 : 0},
+              {"load", candidate.load},
+              {"ahead", candidate.ahead},
+              {"slots", candidate.slots},
+              {"queued", pending.queued},
+              {"expected-ms", std::chrono::duration_cast<Milliseconds>(pending.expected).count()}});
+}
+
 } // namespace
 
 void Gateway::schedulePump(const std::string &service)
@@ -82,8 +98,13 @@
                 static_cast<double>(pending->call.request->body().size()) / bytesPerKilobyte;
         const PlacementLimits limits{pending->aimAt - now - callerPath, limit - now};
         const Placement placement = place(candidates, work, limits, placement_);
+        pending->expected = placement.expected;
+        pending->candidates = candidates.size();
+        pending->queued = waiting.size();
         if (placement.action == PlacementAction::Wait) {
-            ++targets[indices[placement.index]]->planned;
+            const std::size_t planned = indices[placement.index];
+            ++targets[planned]->planned;
+            logWait(*pending, *targets[planned], candidates[placement.index]);
             continue;
         }
         leaveQueue(pending);
