Learn how many objects targets keep from their run times

A target was thought to hold the last 36 objects that it served. The users' services keep 22 to 50, so requests went to targets that had dropped the object and took three times as long. Runs are now told apart by their time; a depth of the order of use at which half of the runs were slow is beyond what is kept. Estimates of both kinds of runs are learned by the same test, so wrong beliefs no longer mix them.

A test plays targets that keep 12, 22 and 40 objects.

--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -171,7 +171,7 @@
         if (!target)
             continue;
         target->used = true;
-        target->warm.touch(object, settings_.warmObjects);
+        target->warm.touch(object, KeptObjects::most);
     }
 }
 
@@ -206,6 +206,11 @@
         onChange_(note);
 }
 
+KeptObjects &Gateway::keptObjects(const std::string &service)
+{
+    return kept_.try_emplace(service, settings_.warmObjects).first->second;
+}
+
 RetryWindow &Gateway::retryWindow(const std::string &service)
 {
     return retryWindows_.try_emplace(service, settings_.retryBound).first->second;
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -60,6 +60,7 @@
     std::shared_ptr<TargetExchange> exchange;
     std::shared_ptr<Target> target;
     bool sentWarm = false;
+    std::optional<std::size_t> sentDepth; // of the object at the target, if it is remembered there
     bool refusedBesideRoom = false; // the last target refused it although it had a free slot
     WorkEstimate sentWork;
     Duration expected{0}; // time to the answer by the last look at the targets
@@ -149,6 +150,7 @@
     void finish(const Pending &pending, HttpResponseMessage message);
     void changed(const WarmNote *note);
     RetryWindow &retryWindow(const std::string &service);
+    KeptObjects &keptObjects(const std::string &service);
 
     net::io_context &io_;
     const GatewaySettings &settings_;
@@ -165,6 +167,7 @@
     std::map<std::string, bool> pumpScheduled_;
     std::map<std::string, RetryWindow> retryWindows_;
     std::unordered_map<std::uint64_t, SlidingCount> coldSends_; // by target hash
+    std::map<std::string, KeptObjects> kept_; // by service
     std::map<std::string, Duration> roundTrips_; // by zone
     std::function<void(const WarmNote *)> onChange_;
     std::optional<TimePoint> end_;
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -84,8 +84,9 @@
         coldSends_.try_emplace(target->hash, paceWindow).first->second.add(now);
     }
     WarmNote note{target->hash, pending->object};
+    pending->sentDepth = target->warm.depth(pending->object);
     if (pending->object != 0)
-        target->warm.touch(pending->object, settings_.warmObjects);
+        target->warm.touch(pending->object, KeptObjects::most);
     ExchangeRequest request;
     request.address = target->entry.address;
     request.message = makeMessage(*pending, *target, now);
@@ -190,8 +191,12 @@
         const double ratio = std::clamp(Seconds(run) / expected, minSlowness, maxSlowness);
         fadeIn(target.slowness, ratio, slownessWeight);
         constexpr double soundTarget = 1.5; // times of slow targets would spoil the estimate
-        if (target.slowness < soundTarget)
-            times_.learn(pending->route->name, pending->service, pending->sentWarm, run);
+        if (target.slowness < soundTarget) {
+            const bool fast = WorkTimes::wasWarm(pending->sentWork, run);
+            times_.learn(pending->route->name, pending->service, fast, run);
+            if (pending->sentDepth)
+                keptObjects(pending->service).learn(*pending->sentDepth, fast);
+        }
     }
     metrics_.observe(pending->route->name, now - pending->call.arrival);
     deliver(pending, std::move(answer.message), "ran");
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -126,6 +126,7 @@
     std::vector<Candidate> candidates;
     std::vector<Candidate> avoided; // used only if there is no other
     std::vector<std::size_t> avoidedIndices;
+    const std::size_t kept = keptObjects(pending->service).kept();
     for (std::size_t i = 0; i < targets.size(); ++i) {
         Target &target = *targets[i];
         if (!registry_.isOpen(target) || !isHome(*pending->route, target.region)
@@ -137,7 +138,8 @@
         candidate.ownRegion = target.region == region_;
         if (cold && !candidate.ownRegion)
             continue; // the pace of a cold target is shared by the instances of its region
-        candidate.warm = pending->object != 0 && target.warm.contains(pending->object);
+        const auto depth = target.warm.depth(pending->object);
+        candidate.warm = depth && *depth < kept;
         candidate.unused = !target.used;
         candidate.slots = target.entry.slots;
         candidate.load = loads[i];
--- a/chestnutvane/process/gateway/target_registry.cc
+++ b/chestnutvane/process/gateway/target_registry.cc
@@ -46,6 +46,15 @@
     }
 }
 
+std::optional<std::size_t> WarmObjects::depth(std::uint64_t object) const
+{
+    const auto found = index_.find(object);
+    if (found == index_.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(
+            std::distance(order_.begin(), std::list<std::uint64_t>::const_iterator(found->second)));
+}
+
 void WarmObjects::clear()
 {
     order_.clear();
--- a/chestnutvane/process/gateway/target_registry.h
+++ b/chestnutvane/process/gateway/target_registry.h
@@ -13,6 +13,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -50,6 +51,10 @@
     void clear();
     [[nodiscard]] bool contains(std::uint64_t object) const { return index_.contains(object); }
 
+    // How many other objects were touched after it; nothing for an object that is not there. Takes
+    // time in proportion.
+    [[nodiscard]] std::optional<std::size_t> depth(std::uint64_t object) const;
+
     [[nodiscard]] std::size_t size() const { return index_.size(); }
 
 private:
--- a/chestnutvane/process/gateway/work_times.cc
+++ b/chestnutvane/process/gateway/work_times.cc
@@ -21,6 +21,29 @@
     seconds += (sample - seconds) * weight;
 }
 
+void KeptObjects::learn(std::size_t depth, bool fast)
+{
+    // Old runs lose weight, so that a changed service is learned again; a few runs prove nothing.
+    constexpr double fade = 0.98;
+    constexpr double enoughRuns = 6;
+    Bucket &bucket = buckets_.at(std::min(depth, most - 1) / bucketObjects);
+    bucket.fast = bucket.fast * fade + (fast ? 1 : 0);
+    bucket.slow = bucket.slow * fade + (fast ? 0 : 1);
+    const std::size_t index = std::min(depth, most - 1) / bucketObjects;
+    if (bucket.fast + bucket.slow < enoughRuns)
+        return;
+    if (bucket.slow > bucket.fast)
+        kept_ = std::max(std::min(kept_, index * bucketObjects), bucketObjects);
+    else if (kept_ < (index + 1) * bucketObjects)
+        kept_ = (index + 1) * bucketObjects;
+}
+
+bool WorkTimes::wasWarm(const WorkEstimate &work, Duration run)
+{
+    constexpr int parts = 2; // the middle between the two
+    return run < (work.warm + work.cold) / parts;
+}
+
 void WorkTimes::learn(const std::string &route, const std::string &service, bool warm, Duration run)
 {
     const double seconds = Seconds(run).count();
--- a/chestnutvane/process/gateway/work_times.h
+++ b/chestnutvane/process/gateway/work_times.h
@@ -9,6 +9,7 @@
 // Not thread-safe.
 #pragma once
 
+#include <array>
 #include <map>
 #include <string>
 
@@ -17,12 +18,42 @@
 
 namespace chestnutvane {
 
+// Learns how many objects the targets of a service keep, from runs on targets that were thought to
+// hold the object: a depth at which half of them were slow is beyond what is kept.
+class KeptObjects
+{
+public:
+    // Objects that are remembered for a target at most.
+    static constexpr std::size_t most = 64;
+
+    explicit KeptObjects(std::size_t assumed) : kept_(assumed) { }
+
+    // Counts a run about an object at a depth, and whether it was fast.
+    void learn(std::size_t depth, bool fast);
+
+    // Objects that a target keeps, by what is known.
+    [[nodiscard]] std::size_t kept() const { return kept_; }
+
+private:
+    static constexpr std::size_t bucketObjects = 4;
+    struct Bucket
+    {
+        double fast = 0;
+        double slow = 0;
+    };
+    std::size_t kept_;
+    std::array<Bucket, most / bucketObjects> buckets_{};
+};
+
 class WorkTimes
 {
 public:
     // Counts a run on a target that was thought to have served the object lately, or not.
     void learn(const std::string &route, const std::string &service, bool warm, Duration run);
 
+    // Whether a run was one of a target that held the object, by its time alone.
+    [[nodiscard]] static bool wasWarm(const WorkEstimate &work, Duration run);
+
     // The estimate for a route. Without a run so far it is derived from the aim of the route.
     [[nodiscard]] WorkEstimate estimate(const std::string &route, const std::string &service,
                                         Duration aim) const;
--- /dev/null
+++ b/chestnutvane/process/gateway/work_times_test.cc
@@ -0,0 +1,63 @@
+#include "chestnutvane/process/gateway/work_times.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "chestnutvane/process/gateway/target_registry.h"
+
+namespace chestnutvane {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Guards against an estimate that mixes the two kinds of runs when the belief about a target was
+// wrong: runs are told apart by their time.
+TEST(WorkTimesTest, WarmAndColdRunsAreLearnedApart)
+{
+    WorkTimes times;
+    const Duration aim = 400ms;
+    std::mt19937 random(7);
+    std::uniform_int_distribution<int> percent(0, 99);
+    for (int i = 0; i < 200; ++i) {
+        const Duration run = percent(random) < 70 ? 115ms : 360ms;
+        const WorkEstimate work = times.estimate("r", "s", aim);
+        times.learn("r", "s", WorkTimes::wasWarm(work, run), run);
+    }
+    const WorkEstimate work = times.estimate("r", "s", aim);
+    EXPECT_TRUE(work.measured);
+    EXPECT_NEAR(std::chrono::duration<double>(work.warm).count(), 0.115, 0.01);
+    EXPECT_NEAR(std::chrono::duration<double>(work.cold).count(), 0.360, 0.01);
+}
+
+// Plays a target that keeps some objects, with requests for a number of objects, and returns what
+// was learned.
+std::size_t learnedKept(std::size_t keeps, std::size_t assumed)
+{
+    KeptObjects kept(assumed);
+    WarmObjects known;
+    WarmObjects held;
+    std::mt19937 random(11);
+    std::uniform_int_distribution<std::uint64_t> object(1, 80);
+    for (int i = 0; i < 4000; ++i) {
+        const std::uint64_t next = object(random);
+        if (const auto depth = known.depth(next))
+            kept.learn(*depth, held.contains(next));
+        known.touch(next, KeptObjects::most);
+        held.touch(next, keeps);
+    }
+    return kept.kept();
+}
+
+// Guards against requests that go to a target because it is thought to hold more objects than it
+// does: they take three times as long.
+TEST(KeptObjectsTest, WhatTargetsKeepIsLearnedFromRunTimes)
+{
+    for (const std::size_t keeps : {12U, 22U, 40U}) {
+        EXPECT_NEAR(static_cast<double>(learnedKept(keeps, 36)), static_cast<double>(keeps), 4);
+        EXPECT_NEAR(static_cast<double>(learnedKept(keeps, 8)), static_cast<double>(keeps), 4);
+    }
+}
+
+} // namespace
+} // namespace chestnutvane
