Send new targets only requests that they can answer in time, from one instance each

A new target was rated above all others even when it might take nothing just then or would answer after the time limit, and the request that was meant for it was refused.

--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -129,6 +129,7 @@
                    const std::vector<double> &loads, std::vector<std::size_t> &indices,
                    TimePoint now);
     [[nodiscard]] bool mayTake(const PendingRequest &pending, const Target &target, TimePoint now);
+    [[nodiscard]] bool takesIntoUse(const Target &target, TimePoint now) const;
     [[nodiscard]] std::size_t instancesIn(const std::string &region, TimePoint now) const;
     [[nodiscard]] Duration roundTrip(const Target &target) const;
 
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -140,7 +140,7 @@
             continue; // the pace of a cold target is shared by the instances of its region
         const auto depth = target.warm.depth(pending->object);
         candidate.warm = depth && *depth < kept;
-        candidate.unused = !target.used;
+        candidate.unused = takesIntoUse(target, now);
         candidate.slots = target.entry.slots;
         candidate.load = loads[i];
         candidate.ahead = target.planned;
@@ -174,6 +174,25 @@
     return sends.count(now) < coldShare(bound, instancesIn(target.region, now));
 }
 
+// Whether this instance is to send a new target its first request. One instance of the region does:
+// a first request is slow, and if all sent one, a large scale-out would delay many. After a time
+// all may.
+bool Gateway::takesIntoUse(const Target &target, TimePoint now) const
+{
+    constexpr std::chrono::seconds othersWait{2};
+    if (target.used || target.region != region_)
+        return false;
+    if (now - target.joined >= othersWait)
+        return true;
+    const std::uint64_t own = hash64(settings_.instanceId, target.hash);
+    return std::none_of(fleet_.peers().begin(), fleet_.peers().end(), [&](const auto &entry) {
+        const LoadReport &report = entry.second.report;
+        return report.state == PeerState::Serving && fleet_.isAlive(entry.first, now)
+                && settings_.regionOf(report.sender.zone) == region_
+                && hash64(entry.first, target.hash) < own;
+    });
+}
+
 std::size_t Gateway::instancesIn(const std::string &region, TimePoint now) const
 {
     std::size_t count = region == region_ ? 1 : 0;
--- a/chestnutvane/process/gateway/placement.cc
+++ b/chestnutvane/process/gateway/placement.cc
@@ -18,6 +18,29 @@
     return candidate.load + candidate.ahead < candidate.slots;
 }
 
+// Rates a candidate; the lowest is the best. The unit is seconds until the answer.
+double score(const Candidate &candidate, const WorkEstimate &work, const PlacementLimits &limits,
+             const PlacementSettings &settings, Duration expected, bool mayTryNew)
+{
+    // A failed attempt is repeated elsewhere, so the expected time grows with the rate; the bound
+    // keeps a target that always fails comparable.
+    constexpr double maxFailureRate = 0.9;
+    double score =
+            Seconds(expected).count() / (1 - std::min(candidate.failureRate, maxFailureRate));
+    score += Seconds(work.cold).count() * settings.rankShare * candidate.rank;
+    if (!candidate.ownRegion)
+        score += Seconds(settings.otherRegion).count()
+                + Seconds(settings.otherRegionPerKilobyte).count() * work.bodyKilobytes;
+    if (expected > limits.aimLeft)
+        score += Seconds(settings.lateness).count();
+    if (candidate.unused && candidate.ownRegion && mayTryNew)
+        score -= Seconds(work.cold).count() * candidate.slowness
+                + Seconds(settings.lateness).count();
+    if (!candidate.mayTake)
+        score += Seconds(work.mean).count();
+    return score;
+}
+
 } // namespace
 
 Duration expectedAnswer(const Candidate &candidate, const WorkEstimate &work)
@@ -34,41 +57,26 @@
 Placement place(std::span<const Candidate> candidates, const WorkEstimate &work,
                 const PlacementLimits &limits, const PlacementSettings &settings)
 {
-    // A failed attempt is repeated elsewhere, so the expected time grows with the rate; the bound
-    // keeps a target that always fails comparable.
-    constexpr double maxFailureRate = 0.9;
+    const Duration answerLimit = toDuration(Seconds(limits.limitLeft) * settings.limitShare);
     Placement best;
     double bestScore = std::numeric_limits<double>::infinity();
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const Candidate &candidate = candidates[i];
         const Duration expected = expectedAnswer(candidate, work);
-        double score =
-                Seconds(expected).count() / (1 - std::min(candidate.failureRate, maxFailureRate));
-        score += Seconds(work.cold).count() * settings.rankShare * candidate.rank;
-        if (!candidate.ownRegion)
-            score += Seconds(settings.otherRegion).count()
-                    + Seconds(settings.otherRegionPerKilobyte).count() * work.bodyKilobytes;
-        if (expected > limits.aimLeft)
-            score += Seconds(settings.lateness).count();
-        if (candidate.unused && candidate.ownRegion)
-            score -= Seconds(work.cold).count() * candidate.slowness;
-        if (!candidate.mayTake)
-            score += Seconds(work.mean).count();
-        if (score >= bestScore)
+        const bool canSend = hasFreeSlot(candidate) && candidate.mayTake;
+        const bool inTime = !work.measured || expected <= answerLimit;
+        const double rating = score(candidate, work, limits, settings, expected, canSend && inTime);
+        if (rating >= bestScore)
             continue;
-        bestScore = score;
-        best.index = i;
-        best.expected = expected;
-        best.action = hasFreeSlot(candidate) && candidate.mayTake ? PlacementAction::Send
-                                                                  : PlacementAction::Wait;
+        bestScore = rating;
+        best = {canSend ? PlacementAction::Send : PlacementAction::Wait, i, expected};
     }
     const Duration late = std::max(limits.limitLeft - limits.aimLeft, Duration{0});
     const Duration waitLimit = std::max(limits.aimLeft, Duration{0})
             + toDuration(Seconds(late) * settings.lateWaitShare);
     if (best.action == PlacementAction::Wait && best.expected > waitLimit)
         best.action = PlacementAction::Refuse;
-    const bool tooLate =
-            best.expected > toDuration(Seconds(limits.limitLeft) * settings.limitShare);
+    const bool tooLate = best.expected > answerLimit;
     const bool known = work.measured || best.action == PlacementAction::Wait;
     if (tooLate && (known || limits.limitLeft <= Duration{0}))
         best.action = PlacementAction::Refuse;
--- a/chestnutvane/process/gateway/placement.h
+++ b/chestnutvane/process/gateway/placement.h
@@ -98,9 +98,9 @@
 Duration expectedAnswer(const Candidate &candidate, const WorkEstimate &work);
 
 // Chooses among the candidates. Without any candidate the request is refused. A target of the own
-// region that is not known to have served a request gets the next one, whatever its run time, so
-// that a new target is taken into use. An assumed run time is no reason to refuse a request for
-// which a slot is free.
+// region that is not known to have served a request gets the next one that it can answer within the
+// time limit, so that a new target is taken into use. An assumed run time is no reason to refuse
+// a request for which a slot is free.
 Placement place(std::span<const Candidate> candidates, const WorkEstimate &work,
                 const PlacementLimits &limits, const PlacementSettings &settings);
 
--- a/chestnutvane/process/gateway/placement_test.cc
+++ b/chestnutvane/process/gateway/placement_test.cc
@@ -114,6 +114,34 @@
     EXPECT_EQ(place(candidates, work, limits, {}).index, 1U);
 }
 
+// Guards against refusals beside targets with room: new targets are slow at first, and a request
+// that was meant for one that may take nothing right now was refused because it would answer too
+// late.
+TEST(PlacementTest, NewTargetsThatMayTakeNothingCauseNoRefusal)
+{
+    Candidate fresh = candidate(false, 0);
+    fresh.unused = true;
+    fresh.slowness = 4;
+    fresh.mayTake = false;
+    const std::vector<Candidate> candidates{fresh, fresh, candidate(true, 1)};
+    const Placement placement = place(candidates, work, limits, {});
+    EXPECT_EQ(placement.action, PlacementAction::Send);
+    EXPECT_EQ(placement.index, 2U);
+}
+
+// Guards against requests that are refused because a new target, slow at first, would answer them
+// after their time limit.
+TEST(PlacementTest, ANewTargetGetsNoRequestThatItCannotAnswerInTime)
+{
+    Candidate fresh = candidate(false, 0);
+    fresh.unused = true;
+    fresh.slowness = 3;
+    const std::vector<Candidate> candidates{fresh, candidate(true, 1)};
+    const Placement placement = place(candidates, work, limits, {});
+    EXPECT_EQ(placement.action, PlacementAction::Send);
+    EXPECT_EQ(placement.index, 1U);
+}
+
 // Guards against slow and failing targets that get as much as sound ones.
 TEST(PlacementTest, SlowAndFailingTargetsComeLast)
 {
--- a/chestnutvane/process/gateway/target_registry.cc
+++ b/chestnutvane/process/gateway/target_registry.cc
@@ -84,6 +84,7 @@
             target->hash = hash64(entry.id);
             changes.push_back({entry.id, "added"});
             target->coldUntil = now + entry.coldRemaining;
+            target->joined = now;
         } else {
             if (isNewStart(target->entry, entry)) {
                 resetState(*target);
--- a/chestnutvane/process/gateway/target_registry.h
+++ b/chestnutvane/process/gateway/target_registry.h
@@ -68,6 +68,7 @@
     TargetEntry entry;
     std::string region;
     std::uint64_t hash = 0; // of the id; names the target in load reports
+    TimePoint joined; // when it was first listed
     TimePoint coldUntil; // earlier than now: warm
     bool removed = false; // no longer registered; nothing new is sent to it
     WarmObjects warm;
