--- a/chestnutvane/connection/query_string.cc
+++ b/chestnutvane/connection/query_string.cc
@@ -40,4 +40,23 @@
     return {};
 }
 
+std::string encodePercent(std::string_view text)
+{
+    constexpr std::string_view hex = "0123456789ABCDEF";
+    constexpr std::string_view unreserved =
+            "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+    std::string result;
+    for (const char byte : text) {
+        if (unreserved.find(byte) != std::string_view::npos) {
+            result += byte;
+            continue;
+        }
+        const auto code = static_cast<unsigned char>(byte);
+        result += '%';
+        result += hex[code >> 4U];
+        result += hex[code & 15U];
+    }
+    return result;
+}
+
 } // namespace chestnutvane
--- a/chestnutvane/connection/query_string.h
+++ b/chestnutvane/connection/query_string.h
@@ -17,4 +17,7 @@
 // Decodes percent-encoded bytes.
 std::string decodePercent(std::string_view text);
 
+// Encodes every byte outside the unreserved set of RFC 3986.
+std::string encodePercent(std::string_view text);
+
 } // namespace chestnutvane
--- a/chestnutvane/connection/query_string_test.cc
+++ b/chestnutvane/connection/query_string_test.cc
@@ -17,5 +17,13 @@
     EXPECT_EQ(queryValue(query, "none"), "");
 }
 
+// Guards against keys that are changed on their way to a store.
+TEST(QueryStringTest, EncodedTextDecodesToItself)
+{
+    for (const std::string text : {"op/config", "a b+c%d&e=f?g#h", "\xff\x01~", ""})
+        EXPECT_EQ(decodePercent(encodePercent(text)), text);
+    EXPECT_EQ(encodePercent("a/b c"), "a%2Fb%20c");
+}
+
 } // namespace
 } // namespace chestnutvane
--- a/chestnutvane/process/http_store.cc
+++ b/chestnutvane/process/http_store.cc
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "chestnutvane/connection/query_string.h"
+
 namespace chestnutvane {
 namespace {
 
@@ -22,26 +24,6 @@
     HttpStoreCounters &counters;
 };
 
-// Encodes every byte outside the unreserved set of RFC 3986.
-std::string urlEncode(std::string_view text)
-{
-    constexpr std::string_view hex = "0123456789ABCDEF";
-    constexpr std::string_view unreserved =
-            "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
-    std::string result;
-    for (const char byte : text) {
-        if (unreserved.find(byte) != std::string_view::npos) {
-            result += byte;
-        } else {
-            const auto code = static_cast<unsigned char>(byte);
-            result += '%';
-            result += hex[code >> 4U];
-            result += hex[code & 15U];
-        }
-    }
-    return result;
-}
-
 StoreError readError(const HttpResult &result)
 {
     if (!isOk(result))
@@ -202,12 +184,12 @@
     Store store;
     store.get = [context](const std::string &key, auto callback) {
         ++context->counters.gets;
-        sendRead<StoreEntry>(*context, "/v1/kv/" + urlEncode(key), Milliseconds{0}, readEntry,
+        sendRead<StoreEntry>(*context, "/v1/kv/" + encodePercent(key), Milliseconds{0}, readEntry,
                              std::move(callback));
     };
     store.list = [context](const std::string &prefix, auto callback) {
         ++context->counters.lists;
-        sendRead<WatchResult>(*context, "/v1/list?prefix=" + urlEncode(prefix), Milliseconds{0},
+        sendRead<WatchResult>(*context, "/v1/list?prefix=" + encodePercent(prefix), Milliseconds{0},
                               readEntries, std::move(callback));
     };
     store.listStale = store.list;
@@ -215,7 +197,7 @@
                             Milliseconds maxWait, auto callback) {
         ++context->counters.watches;
         sendRead<WatchResult>(*context,
-                              "/v1/watch?prefix=" + urlEncode(prefix)
+                              "/v1/watch?prefix=" + encodePercent(prefix)
                                       + "&after=" + std::to_string(afterVersion)
                                       + "&wait-ms=" + std::to_string(maxWait.count()),
                               maxWait, readEntries, std::move(callback));
