--- a/chestnutvane/process/log.cc
+++ b/chestnutvane/process/log.cc
@@ -4,8 +4,6 @@
 
 #include <atomic>
 
-INITIALIZE_EASYLOGGINGPP
-
 namespace chestnutvane {
 namespace internal {
 namespace {
