Bound the looks at waiting requests that reports cause

A look that nothing but a report causes now follows the last one after a pause of 2.5 us for each pair of a request and a target, a fiftieth of a core. What is the same for all requests of a look is worked out once.

--- /dev/null
+++ b/chestnutvane/process/gateway/crowded_gateway.h
@@ -0,0 +1,105 @@
+// For tests and benchmarks: a gateway whose targets are all full, with requests that wait.
+//
+// Example:
+//
+//   CrowdedGateway crowded(234);
+//   crowded.ask(30);
+//   crowded.gateway.reconsider();
+//   crowded.io.poll();
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "chestnutvane/base/hash.h"
+#include "chestnutvane/base/result.h"
+#include "chestnutvane/process/gateway/gateway.h"
+
+namespace chestnutvane {
+
+class CrowdedGateway
+{
+public:
+    explicit CrowdedGateway(std::size_t targets) : gateway(io, settings_, metrics)
+    {
+        std::vector<TargetEntry> entries(targets);
+        for (std::size_t i = 0; i < targets; ++i) {
+            entries[i].id = "t" + std::to_string(i);
+            entries[i].service = service;
+            entries[i].address = "127.0.0.1:1";
+            entries[i].zone = i % 2 == 0 ? "near" : "far";
+            entries[i].slots = slots;
+        }
+        gateway.registry().replaceAll(entries, Clock::now(), RemovalPolicy::Immediate);
+        ServiceSpec spec;
+        spec.name = service;
+        Route route;
+        route.name = "views";
+        route.host = "example.org";
+        route.pathPrefix = "/";
+        route.repeat = Repeat::Idempotent;
+        route.shares = {{service, 1}};
+        route.timeLimit = std::chrono::seconds(600);
+        route.aim = std::chrono::seconds(300);
+        route.objectAffinity = true;
+        auto table = RouteTable::create(1, {route}, {{service, spec}}, {});
+        gateway.setRoutes(value(table));
+        report();
+    }
+
+    // Another instance reports that it uses all slots.
+    void report()
+    {
+        LoadReport load;
+        load.sender = {"other", 1, "near", "127.0.0.1:2", "127.0.0.1:3"};
+        load.state = PeerState::Serving;
+        load.sequence = ++sequence_;
+        for (const auto &[hash, target] : gateway.registry().all())
+            load.inFlight[hash] = slots;
+        gateway.fleet().merge(std::move(load), Clock::now());
+    }
+
+    void ask(int requests)
+    {
+        for (int i = 0; i < requests; ++i) {
+            auto request = std::make_shared<HttpRequestMessage>(http::verb::get, "/view", 11);
+            request->set(http::field::host, "example.org");
+            request->set(settings_.headers.objectKey, std::to_string(i));
+            Call call;
+            call.request = std::move(request);
+            call.arrival = Clock::now();
+            call.answer = [this](const HttpResponseMessage &) { ++answered; };
+            call.onGone = [](const std::function<void()> &) {};
+            gateway.handle(std::move(call));
+        }
+    }
+
+    // Looks at the waiting requests so far.
+    [[nodiscard]] double looks() const
+    {
+        return metrics.value("vane_gateway_looks_total", {{"service", service}});
+    }
+
+    static constexpr const char *service = "views";
+    static constexpr int slots = 3;
+
+    net::io_context io;
+    Metrics metrics;
+
+private:
+    GatewaySettings settings_ = [] {
+        GatewaySettings settings;
+        settings.instanceId = "i1";
+        settings.zone = "near";
+        settings.zoneRegions = {{"near", "here"}, {"far", "there"}};
+        return settings;
+    }();
+    std::uint64_t sequence_ = 0;
+
+public:
+    Gateway gateway;
+    int answered = 0;
+};
+
+} // namespace chestnutvane
--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -140,7 +140,7 @@
     gateway_.noteWarm(warm);
     if (gateway_.fleet().merge(std::move(load), now)) {
         addPeer(sender);
-        gateway_.reconsider();
+        gateway_.reconsiderAfterReport();
     }
 }
 
--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -42,7 +42,7 @@
 
 Gateway::Gateway(net::io_context &io, const GatewaySettings &settings, Metrics &metrics)
     : io_(io), settings_(settings), metrics_(metrics), region_(settings.regionOf(settings.zone)),
-      registry_(settings.zoneRegions)
+      registry_(settings.zoneRegions), reportLookTimer_(io)
 { }
 
 void Gateway::handle(Call call)
@@ -164,6 +164,21 @@
     }
 }
 
+void Gateway::reconsiderAfterReport()
+{
+    if (reportLookArranged_)
+        return;
+    if (Clock::now() >= nextReportLook_)
+        return reconsider();
+    reportLookArranged_ = true;
+    reportLookTimer_.expires_at(nextReportLook_);
+    reportLookTimer_.async_wait([this](const boost::system::error_code &ended) {
+        reportLookArranged_ = false;
+        if (!ended)
+            reconsider();
+    });
+}
+
 void Gateway::noteWarm(const std::vector<WarmNote> &notes)
 {
     for (const auto &[hash, object] : notes) {
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -71,6 +71,15 @@
     bool done = false;
 };
 
+// A target that requests may be sent to, as seen by one look at the waiting requests.
+struct TargetView
+{
+    std::shared_ptr<Target> target;
+    Candidate shared; // what is the same for all requests of the look
+    double queuedElsewhere = 0; // waiting requests of other instances for each target of the region
+    bool avoided = false; // used only if there is no other
+};
+
 class Gateway
 {
 public:
@@ -90,6 +99,10 @@
     // Looks at all waiting requests again, after news of targets or instances.
     void reconsider();
 
+    // The same after a report of another instance, at once or after a pause: a large fleet sends
+    // several hundred reports a second.
+    void reconsiderAfterReport();
+
     // Takes the warm objects of a report.
     void noteWarm(const std::vector<WarmNote> &notes);
 
@@ -125,11 +138,11 @@
     // Placing (gateway_placing.cc).
     void schedulePump(const std::string &service);
     void pump(const std::string &service);
-    [[nodiscard]] std::vector<Candidate>
-    makeCandidates(const Pending &pending, const std::vector<std::shared_ptr<Target>> &targets,
-                   const std::vector<double> &loads, std::vector<std::size_t> &indices,
-                   TimePoint now);
-    [[nodiscard]] bool mayTake(const PendingRequest &pending, const Target &target, TimePoint now);
+    [[nodiscard]] std::vector<TargetView> viewTargets(const std::string &service, TimePoint now);
+    // Fills in the targets that the request may go to and has not tried, and their places in views.
+    void fillCandidates(const PendingRequest &pending, const std::vector<TargetView> &views,
+                        std::vector<Candidate> &candidates, std::vector<std::size_t> &indices);
+    [[nodiscard]] bool mayTake(const std::string &service, const Target &target, TimePoint now);
     [[nodiscard]] bool takesIntoUse(const Target &target, TimePoint now) const;
     [[nodiscard]] std::size_t instancesIn(const std::string &region, TimePoint now) const;
     [[nodiscard]] Duration roundTrip(const Target &target) const;
@@ -167,6 +180,9 @@
     PlacementSettings placement_;
     std::map<std::string, Queue> queues_; // by service, in the order of service
     std::map<std::string, bool> pumpScheduled_;
+    net::steady_timer reportLookTimer_;
+    bool reportLookArranged_ = false;
+    TimePoint nextReportLook_; // earliest time of a look that only a report causes
     std::map<std::string, RetryWindow> retryWindows_;
     std::unordered_map<std::uint64_t, SlidingCount> coldSends_; // by target hash
     std::map<std::string, KeptObjects> kept_; // by service
--- /dev/null
+++ b/chestnutvane/process/gateway/gateway_benchmark.cc
@@ -0,0 +1,30 @@
+// Processor time of a look at waiting requests, by requests and targets.
+#include <benchmark/benchmark.h>
+
+#include "chestnutvane/process/gateway/crowded_gateway.h"
+
+namespace {
+
+void look(benchmark::State &state)
+{
+    const auto waiting = static_cast<int>(state.range(0));
+    const auto targets = static_cast<std::size_t>(state.range(1));
+    chestnutvane::CrowdedGateway crowded(targets);
+    crowded.ask(waiting);
+    for (auto round : state) {
+        state.PauseTiming();
+        crowded.report(); // reports count for a limited time
+        state.ResumeTiming();
+        crowded.gateway.reconsider();
+        crowded.io.restart();
+        crowded.io.poll();
+    }
+    // Rated pairs of a request and a target.
+    state.SetItemsProcessed(state.iterations() * waiting * state.range(1));
+}
+
+BENCHMARK(look)->Args({5, 16})->Args({30, 234})->Args({30, 342});
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -63,18 +63,7 @@
     if (queue.empty())
         return;
     const TimePoint now = Clock::now();
-    const auto &targets = registry_.targetsOf(service);
-    std::vector<double> loads;
-    loads.reserve(targets.size());
-    std::size_t inRegion = 0;
-    for (const auto &target : targets) {
-        loads.push_back(target->inFlight + fleet_.inFlightAt(target->hash, now));
-        target->planned = 0;
-        inRegion += target->region == region_ ? 1 : 0;
-    }
-    const double queuedElsewhere =
-            fleet_.queuedFor(hash64(service), region_, settings_.zoneRegions, now)
-            / static_cast<double>(std::max<std::size_t>(inRegion, 1));
+    auto views = viewTargets(service, now);
     // Requests that cannot meet their aim any more go last: they take no slot from one that can.
     std::stable_partition(queue.begin(), queue.end(), [this, now](const Pending &pending) {
         const auto work =
@@ -82,13 +71,12 @@
         return pending->aimAt - now > work.warm + callerPath;
     });
     const Queue waiting = queue;
+    metrics_.increment("vane_gateway_looks_total", {{"service", service}});
+    nextReportLook_ = now + pauseAfterLook(waiting.size(), views.size());
+    std::vector<Candidate> candidates;
+    std::vector<std::size_t> indices; // in views, for each candidate
     for (const Pending &pending : waiting) {
-        std::vector<std::size_t> indices;
-        auto candidates = makeCandidates(pending, targets, loads, indices, now);
-        for (Candidate &candidate : candidates) {
-            if (candidate.ownRegion && candidate.load >= candidate.slots)
-                candidate.ahead += queuedElsewhere;
-        }
+        fillCandidates(*pending, views, candidates, indices);
         TimePoint limit = pending->limitAt;
         if (end_)
             limit = std::min(limit, *end_);
@@ -102,9 +90,9 @@
         pending->candidates = candidates.size();
         pending->queued = waiting.size();
         if (placement.action == PlacementAction::Wait) {
-            const std::size_t planned = indices[placement.index];
-            ++targets[planned]->planned;
-            logWait(*pending, *targets[planned], candidates[placement.index]);
+            TargetView &planned = views[indices[placement.index]];
+            planned.shared.ahead += 1;
+            logWait(*pending, *planned.target, candidates[placement.index]);
             continue;
         }
         leaveQueue(pending);
@@ -112,61 +100,85 @@
             retryOrAnswer(pending, candidates.empty() ? "no-target" : "no-room");
             continue;
         }
-        const std::size_t index = indices[placement.index];
-        loads[index] += 1;
-        send(pending, targets[index], candidates[placement.index], work);
+        TargetView &chosen = views[indices[placement.index]];
+        send(pending, chosen.target, candidates[placement.index], work);
+        chosen.shared.load += 1;
+        chosen.shared.unused = takesIntoUse(*chosen.target, now);
+        chosen.shared.mayTake = mayTake(service, *chosen.target, now);
     }
 }
 
-std::vector<Candidate> Gateway::makeCandidates(const Pending &pending,
-                                               const std::vector<std::shared_ptr<Target>> &targets,
-                                               const std::vector<double> &loads,
-                                               std::vector<std::size_t> &indices, TimePoint now)
+std::vector<TargetView> Gateway::viewTargets(const std::string &service, TimePoint now)
 {
-    std::vector<Candidate> candidates;
-    std::vector<Candidate> avoided; // used only if there is no other
-    std::vector<std::size_t> avoidedIndices;
-    const std::size_t kept = keptObjects(pending->service).kept();
-    for (std::size_t i = 0; i < targets.size(); ++i) {
-        Target &target = *targets[i];
-        if (!registry_.isOpen(target) || !isHome(*pending->route, target.region)
-            || std::find(pending->tried.begin(), pending->tried.end(), target.hash)
-                    != pending->tried.end())
+    const auto &targets = registry_.targetsOf(service);
+    const auto inRegion = std::count_if(targets.begin(), targets.end(), [this](const auto &target) {
+        return target->region == region_;
+    });
+    const double queuedElsewhere =
+            fleet_.queuedFor(hash64(service), region_, settings_.zoneRegions, now)
+            / static_cast<double>(std::max<std::ptrdiff_t>(inRegion, 1));
+    std::vector<TargetView> views;
+    views.reserve(targets.size());
+    for (const auto &target : targets) {
+        if (!registry_.isOpen(*target))
             continue;
-        const bool cold = target.coldUntil > now;
-        Candidate candidate;
-        candidate.ownRegion = target.region == region_;
-        if (cold && !candidate.ownRegion)
+        const bool cold = target->coldUntil > now;
+        TargetView view{target};
+        Candidate &shared = view.shared;
+        shared.ownRegion = target->region == region_;
+        if (cold && !shared.ownRegion)
             continue; // the pace of a cold target is shared by the instances of its region
-        const auto depth = target.warm.depth(pending->object);
-        candidate.warm = depth && *depth < kept;
-        candidate.unused = takesIntoUse(target, now);
-        candidate.slots = target.entry.slots;
-        candidate.load = loads[i];
-        candidate.ahead = target.planned;
-        candidate.slowness = target.slowness * (cold ? coldTargetFactor : 1);
-        candidate.failureRate = target.failureRate;
-        candidate.roundTrip = roundTrip(target);
-        candidate.rank = unitInterval(hash64("rank", target.hash ^ pending->object))
-                * (candidate.warm ? warmRankWeight : 1);
-        candidate.mayTake = mayTake(*pending, target, now);
-        const bool isAvoided = target.avoidedUntil > now;
-        (isAvoided ? avoided : candidates).push_back(candidate);
-        (isAvoided ? avoidedIndices : indices).push_back(i);
+        shared.unused = takesIntoUse(*target, now);
+        shared.slots = target->entry.slots;
+        shared.load = target->inFlight + fleet_.inFlightAt(target->hash, now);
+        shared.slowness = target->slowness * (cold ? coldTargetFactor : 1);
+        shared.failureRate = target->failureRate;
+        shared.roundTrip = roundTrip(*target);
+        shared.mayTake = mayTake(service, *target, now);
+        view.queuedElsewhere = queuedElsewhere;
+        view.avoided = target->avoidedUntil > now;
+        views.push_back(std::move(view));
     }
-    if (!candidates.empty())
-        return candidates;
-    indices = avoidedIndices;
-    return avoided;
+    return views;
+}
+
+void Gateway::fillCandidates(const PendingRequest &pending, const std::vector<TargetView> &views,
+                             std::vector<Candidate> &candidates, std::vector<std::size_t> &indices)
+{
+    const std::size_t kept = keptObjects(pending.service).kept();
+    const auto fill = [&](bool avoided) {
+        candidates.clear();
+        indices.clear();
+        for (std::size_t i = 0; i < views.size(); ++i) {
+            const TargetView &view = views[i];
+            const Target &target = *view.target;
+            if (view.avoided != avoided || !isHome(*pending.route, target.region)
+                || std::find(pending.tried.begin(), pending.tried.end(), target.hash)
+                        != pending.tried.end())
+                continue;
+            Candidate candidate = view.shared;
+            if (candidate.ownRegion && candidate.load >= candidate.slots)
+                candidate.ahead += view.queuedElsewhere;
+            const auto depth = target.warm.depth(pending.object);
+            candidate.warm = depth && *depth < kept;
+            candidate.rank = unitInterval(hash64("rank", target.hash ^ pending.object))
+                    * (candidate.warm ? warmRankWeight : 1);
+            candidates.push_back(candidate);
+            indices.push_back(i);
+        }
+    };
+    fill(false);
+    if (candidates.empty()) // targets that failed lately are better than none
+        fill(true);
 }
 
-bool Gateway::mayTake(const PendingRequest &pending, const Target &target, TimePoint now)
+bool Gateway::mayTake(const std::string &service, const Target &target, TimePoint now)
 {
     if (target.fullUntil > now || (target.failuresInRow > 0 && target.inFlight > 0))
         return false;
     if (target.coldUntil <= now)
         return true;
-    const ServiceSpec *spec = pending.table->service(pending.service);
+    const ServiceSpec *spec = table_ ? table_->service(service) : nullptr;
     const ColdBound bound{spec == nullptr ? 0 : spec->coldPerSecond, settings_.coldOvershoot,
                           settings_.coldSlack};
     constexpr std::chrono::seconds paceWindow{1};
--- a/chestnutvane/process/gateway/placement.cc
+++ b/chestnutvane/process/gateway/placement.cc
@@ -43,6 +43,15 @@
 
 } // namespace
 
+Duration pauseAfterLook(std::size_t waiting, std::size_t targets)
+{
+    // Processor time of rating one target for one request (gateway_benchmark).
+    constexpr std::chrono::nanoseconds ratingTime{50};
+    // Looks after reports use at most a fiftieth of a core; the smallest instance has a tenth.
+    constexpr int share = 50;
+    return ratingTime * share * static_cast<std::int64_t>(waiting * targets);
+}
+
 Duration expectedAnswer(const Candidate &candidate, const WorkEstimate &work)
 {
     const Seconds run = Seconds(candidate.warm ? work.warm : work.cold) * candidate.slowness;
--- a/chestnutvane/process/gateway/placement.h
+++ b/chestnutvane/process/gateway/placement.h
@@ -94,6 +94,10 @@
     Duration expected{0}; // until the answer; for a refusal of the best candidate
 };
 
+// Returns the least time between a look at waiting requests and a further one that nothing but a
+// report of another instance causes, so that such looks use a bounded share of a core.
+Duration pauseAfterLook(std::size_t waiting, std::size_t targets);
+
 // Returns the time until the answer if the request were given to the candidate now.
 Duration expectedAnswer(const Candidate &candidate, const WorkEstimate &work);
 
--- a/chestnutvane/process/gateway/target_registry.h
+++ b/chestnutvane/process/gateway/target_registry.h
@@ -75,7 +75,6 @@
     WarmObjects warm;
     int inFlight = 0; // attempts of this instance
     bool used = false; // a request was sent to this start of it, by any instance
-    int planned = 0; // waiting requests of this instance that are meant for it
     TimePoint avoidedUntil; // after failures; one request at a time tries it afterwards
     int failuresInRow = 0;
     TimePoint fullUntil; // after it refused a request for lack of room
