Bound the log and never wait for its reader

Lines went straight to the standard output, so a reader that stopped reading stopped the process, and a heavy load wrote without bound.

A bounded queue now stands in front of the output, and a pipe gets what it has room for. Lines of requests that go well (routed, waits, served, look-ups) are dropped first, beyond 256 kB that wait or 200 kB a second; event 104 says how many of each event are missing. Answers that a target gave are event 210, so that 203 is a request that failed; it names the target, its warmth and the expected time, in case the line that routed it was dropped.

Ruled out: a writer thread, which costs a wake-up for each batch on a fifth of a core; O_NONBLOCK on the output, which other processes share.

LogWriterTest.AReaderThatStopsHoldsNobodyUp hangs without the change.

--- a/chestnutvane/process/events.h
+++ b/chestnutvane/process/events.h
@@ -27,6 +27,7 @@
     Stopping = 101,
     Stopped = 102,
     ListenFailed = 103,
+    LinesDropped = 104,
     LookUpAnswered = 200,
     RequestRouted = 201,
     RequestRefused = 202,
@@ -37,6 +38,7 @@
     TargetProbed = 207,
     RequestFellBack = 208,
     RequestWaits = 209,
+    RequestServed = 210,
     BrokerTaken = 300,
     BrokerGivenUp = 301,
     BrokerRebuilt = 302,
@@ -80,6 +82,8 @@
         {Event::Stopping, LogLevel::Info, "stopping", "A graceful shutdown has begun."},
         {Event::Stopped, LogLevel::Info, "stopped", "The shutdown is complete."},
         {Event::ListenFailed, LogLevel::Error, "listen-failed", "A listener cannot be opened."},
+        {Event::LinesDropped, LogLevel::Warning, "lines-dropped",
+         "Log lines were dropped; the fields give how many of each event."},
         {Event::LookUpAnswered, LogLevel::Info, "look-up-answered",
          "A caller was told which instances to use."},
         {Event::RequestRouted, LogLevel::Info, "request-routed", "A request was given a target."},
@@ -98,6 +102,8 @@
          "A request that its region could not serve goes to the broker of another region."},
         {Event::RequestWaits, LogLevel::Info, "request-waits",
          "A request waits for a slot; the fields give the target and its load."},
+        {Event::RequestServed, LogLevel::Info, "request-served",
+         "A target's answer was delivered to the caller."},
         {Event::BrokerTaken, LogLevel::Info, "broker-taken",
          "This instance took the broker role of a unit."},
         {Event::BrokerGivenUp, LogLevel::Info, "broker-given-up",
@@ -150,6 +156,21 @@
          "A datagram is no load report that can be read."},
 };
 
+// Tells whether lines of the event tell of requests that go well. Such lines are dropped first when
+// the log has no room.
+constexpr bool isRoutine(Event event)
+{
+    switch (event) {
+    case Event::LookUpAnswered:
+    case Event::RequestRouted:
+    case Event::RequestWaits:
+    case Event::RequestServed:
+        return true;
+    default:
+        return false;
+    }
+}
+
 // Returns the row of an event.
 constexpr const EventRow &eventRow(Event event)
 {
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -274,7 +274,8 @@
 
 void Gateway::deliver(const Pending &pending, HttpResponseMessage message, std::string_view outcome)
 {
-    logEvent(Event::RequestEnded,
+    constexpr unsigned firstErrorStatus = 500;
+    logEvent(message.result_int() < firstErrorStatus ? Event::RequestServed : Event::RequestEnded,
              {{"request", pending->id},
               {"result", outcome},
               {"status", message.result_int()},
@@ -320,6 +321,9 @@
               {"result", reason},
               {"status", static_cast<int>(status)},
               {"outcome", "unknown"},
+              {"target", pending->target->entry.id},
+              {"warm", pending->sentWarm ? 1 : 0},
+              {"expected-ms", toMilliseconds(pending->expected)},
               {"arrivals", pending->arrivals},
               {"ms", toMilliseconds(Clock::now() - pending->call.arrival)}});
     metrics_.increment("vane_gateway_requests_total",
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -263,6 +263,7 @@
 void GatewayProcess::tick()
 {
     gateway_.tick();
+    flushLog();
     chooseReader();
     constexpr Milliseconds period{500};
     tickTimer_.expires_after(period);
--- a/chestnutvane/process/log.cc
+++ b/chestnutvane/process/log.cc
@@ -3,6 +3,12 @@
 #include <easylogging++.h>
 
 #include <atomic>
+#include <span>
+#include <vector>
+
+#include <unistd.h>
+
+#include "chestnutvane/process/log_writer.h"
 
 namespace chestnutvane {
 namespace internal {
@@ -27,31 +33,32 @@
     line += '"';
 }
 
-} // namespace
-} // namespace internal
-
-void setUpLog(LogLevel lowest, std::uint32_t sample, const std::string &instanceId)
+LogWriter &standardOutput()
 {
-    internal::lowestLevel = lowest;
-    internal::sampleRate = sample;
-    el::Configurations configuration;
-    configuration.setToDefault();
-    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-    configuration.setGlobally(el::ConfigurationType::Format,
-                              "%datetime{%Y-%M-%dT%H:%m:%s.%g} " + instanceId + " %level %msg");
-    el::Loggers::reconfigureAllLoggers(configuration);
+    static LogWriter writer(STDOUT_FILENO, {});
+    return writer;
 }
 
-bool isSampled(std::uint64_t number)
+// The event of the line that this thread hands to the library, which passes on only its text.
+thread_local Event currentEvent = Event::Started;
+
+// Gives the formatted lines of the library to the bounded writer.
+class BoundedDispatch : public el::LogDispatchCallback
 {
-    return number % internal::sampleRate == 0;
-}
+protected:
+    void handle(const el::LogDispatchData *data) override
+    {
+        const el::LogMessage *message = data->logMessage();
+        constexpr bool withLineBreak = true;
+        standardOutput().write(
+                {currentEvent, message->logger()->logBuilder()->build(message, withLineBreak)});
+    }
+};
 
-void logEvent(Event event, std::initializer_list<LogField> fields)
+void writeLine(Event event, std::span<const LogField> fields)
 {
     const auto &row = eventRow(event);
-    if (row.level < internal::lowestLevel.load(std::memory_order_relaxed))
+    if (row.level < lowestLevel.load(std::memory_order_relaxed))
         return;
     std::string line = std::to_string(static_cast<int>(event));
     line += ' ';
@@ -60,8 +67,9 @@
         line += ' ';
         line += field.key;
         line += '=';
-        internal::appendValue(line, field.value);
+        appendValue(line, field.value);
     }
+    currentEvent = event;
     switch (row.level) {
     case LogLevel::Debug:
         LOG(DEBUG) << line;
@@ -78,4 +86,51 @@
     }
 }
 
+void reportDropped()
+{
+    const auto dropped = standardOutput().takeDropped();
+    if (dropped.empty())
+        return;
+    std::vector<LogField> fields;
+    for (const auto &[event, count] : dropped)
+        fields.emplace_back(eventRow(event).name, count);
+    writeLine(Event::LinesDropped, fields);
+}
+
+} // namespace
+} // namespace internal
+
+void setUpLog(LogLevel lowest, std::uint32_t sample, const std::string &instanceId)
+{
+    internal::lowestLevel = lowest;
+    internal::sampleRate = sample;
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+    configuration.setGlobally(el::ConfigurationType::Format,
+                              "%datetime{%Y-%M-%dT%H:%m:%s.%g} " + instanceId + " %level %msg");
+    el::Loggers::reconfigureAllLoggers(configuration);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+            "DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<internal::BoundedDispatch>("BoundedDispatch");
+}
+
+bool isSampled(std::uint64_t number)
+{
+    return number % internal::sampleRate == 0;
+}
+
+void logEvent(Event event, std::initializer_list<LogField> fields)
+{
+    internal::reportDropped();
+    internal::writeLine(event, {fields.begin(), fields.size()});
+}
+
+void flushLog()
+{
+    internal::standardOutput().flush();
+    internal::reportDropped();
+}
+
 } // namespace chestnutvane
--- a/chestnutvane/process/log.h
+++ b/chestnutvane/process/log.h
@@ -1,4 +1,7 @@
-// Structured log lines: one line for an event, as "time level number name key=value ...".
+// Structured log lines: one line for an event, as "time instance level number name key=value ...".
+//
+// Lines go to the standard output. No call waits for its reader: lines wait in a bounded queue, and
+// those dropped are counted and named by an event (log_queue.h).
 //
 // Example:
 //
@@ -31,7 +34,8 @@
 };
 
 // Sets the lowest level written and the sampling of routing decisions (events 200 to 299 of level
-// info): one of "sample" requests is written. Call once, before the first line.
+// info): one of "sample" requests is written. From then on lines go through the bounded queue. Call
+// once, before the first line.
 void setUpLog(LogLevel lowest, std::uint32_t sample, const std::string &instanceId);
 
 // Tells whether a routing decision with this number is written. Callers that check it first spare
@@ -41,4 +45,8 @@
 // Writes a line if the event's level is high enough.
 void logEvent(Event event, std::initializer_list<LogField> fields);
 
+// Writes waiting lines that the reader of the standard output now has room for. Call it some times
+// a second, for lines that no further line follows.
+void flushLog();
+
 } // namespace chestnutvane
--- a/chestnutvane/process/member_service.cc
+++ b/chestnutvane/process/member_service.cc
@@ -53,7 +53,10 @@
     });
     obtainLease();
     beat();
-    instance_.workers->every(instance_.settings.heartbeat, [this] { beat(); });
+    instance_.workers->every(instance_.settings.heartbeat, [this] {
+        beat();
+        flushLog();
+    });
     instance_.workers->every(instance_.settings.leaseRenewal, [this] { renewLease(); });
 }
 
