Tell the story of a request from saved log files

It ends with the cause and with what other requests met at the same targets. Until now this was done with grep, for each line by hand.

Numbers with a fraction are written with three significant digits.

--- a/apps/chestnutvanectl.cc
+++ b/apps/chestnutvanectl.cc
@@ -17,8 +17,11 @@
 
 using namespace chestnutvane;
 
+// Reads a whole file, or the standard input for "-".
 std::optional<std::string> readFile(const std::string &path)
 {
+    if (path == "-")
+        return std::string(std::istreambuf_iterator<char>(std::cin), {});
     if (std::error_code failure; std::filesystem::is_directory(path, failure))
         return std::nullopt;
     std::ifstream file(path, std::ios::binary);
--- a/chestnutvane/operator/command_line.cc
+++ b/chestnutvane/operator/command_line.cc
@@ -40,11 +40,14 @@
         {"change", "ID", "Tells what became of the change with this id."},
         {"service", "NAME", "The service that the caller asks for."},
         {"client", "IP", "The caller's address."},
+        {"request", "ID", "The id of a request, as in the log lines."},
         {"clear", "FINGERPRINT",
          "Clears the suspect: its crashes until now no longer count, on any instance."},
         {"help", "", "Prints this text."},
 };
 
+constexpr std::string_view manyFiles = "LOG..."; // words of a command that takes several files
+
 struct CommandSpec
 {
     CommandName name;
@@ -53,6 +56,7 @@
     std::vector<std::string_view> optional;
     std::string_view help;
     std::string_view example;
+    std::string_view selector = {}; // a flag that tells this form of the command from the other
 };
 
 const std::vector<CommandSpec> &commandSpecs()
@@ -94,6 +98,14 @@
              {"json", "help"},
              "Prints which region and instances a caller is given, and why.",
              "explain --service box-office --client 10.1.2.3 --server 127.0.0.11:8081"},
+            {CommandName::Explain,
+             manyFiles,
+             {"request"},
+             {"json", "help"},
+             "Tells the story of a request from log files of the instances, \"-\" for standard "
+             "input.",
+             "explain --request 6d284590d8fafa5f i1.log i2.log",
+             "request"},
             {CommandName::Suspects,
              "",
              {"server"},
@@ -110,6 +122,23 @@
                          [&](const FlagSpec &spec) { return spec.name == name; });
 }
 
+// Finds the form of a command that the words ask for.
+const CommandSpec &formOf(CommandName name, const std::vector<std::string> &words)
+{
+    const CommandSpec *found = nullptr;
+    for (const auto &spec : commandSpecs()) {
+        if (spec.name != name)
+            continue;
+        const std::string flag = "--" + std::string(spec.selector);
+        const bool selected = std::any_of(words.begin(), words.end(), [&](const auto &word) {
+            return word == flag || word.starts_with(flag + "=");
+        });
+        if (found == nullptr || (!spec.selector.empty() && selected))
+            found = &spec;
+    }
+    return *found;
+}
+
 std::vector<std::string_view> flagsOf(const CommandSpec &spec)
 {
     auto names = spec.required;
@@ -251,6 +280,12 @@
 std::optional<UsageError> readWords(Command &command, const CommandSpec &spec,
                                     const std::vector<std::string> &words)
 {
+    if (spec.words == manyFiles) {
+        if (words.empty())
+            return UsageError{UsageFault::WrongWords, "no log file", std::string(spec.words)};
+        command.logFiles = words;
+        return std::nullopt;
+    }
     const std::size_t wanted = spec.words.empty() ? 0 : command.name == CommandName::Drain ? 2 : 1;
     if (words.size() != wanted)
         return UsageError{UsageFault::WrongWords,
@@ -283,12 +318,13 @@
     command.changeId = text("change");
     command.service = text("service");
     command.client = text("client");
+    command.request = text("request");
     for (const std::string_view name : {"author", "asked-by"}) {
         if (raw.values.contains(name) && !isPersonName(text(name)))
             return UsageError{UsageFault::BadValue, fmt::format("--{}", name),
                               "one line of 1 to 128 bytes"};
     }
-    for (const std::string_view name : {"service", "client", "change"}) {
+    for (const std::string_view name : {"service", "client", "change", "request"}) {
         if (raw.values.contains(name) && text(name).empty())
             return UsageError{UsageFault::BadValue, fmt::format("--{}", name), "a non-empty text"};
     }
@@ -326,9 +362,7 @@
     if (!name)
         return UsageError{UsageFault::UnknownCommand, words[0],
                           allEnumNames(commandNames) + "; --help"};
-    const auto &spec = *std::find_if(
-            internal::commandSpecs().begin(), internal::commandSpecs().end(),
-            [&](const internal::CommandSpec &candidate) { return candidate.name == *name; });
+    const auto &spec = internal::formOf(*name, words);
     const auto parsed = internal::parseRaw(spec, {words.begin() + 1, words.end()});
     if (const auto *failure = std::get_if<UsageError>(&parsed))
         return *failure;
--- a/chestnutvane/operator/command_line.h
+++ b/chestnutvane/operator/command_line.h
@@ -66,6 +66,8 @@
     std::optional<std::uint64_t> base;
     std::string service;
     std::string client;
+    std::string request; // id; explain tells its story from the log files
+    std::vector<std::string> logFiles; // "-" is the standard input
     std::optional<std::uint64_t> clear; // fingerprint of a suspect
 };
 
--- a/chestnutvane/operator/command_line_test.cc
+++ b/chestnutvane/operator/command_line_test.cc
@@ -66,6 +66,10 @@
              "from 1 to 600000"},
             {{"status", "--server", at, "--base", "-1"}, BadValue, "a whole number"},
             {{"suspects", "--server", at, "--clear", "0x1f"}, BadValue, "a fingerprint"},
+            {{"explain", "--request", "r1"}, WrongWords, "LOG..."},
+            {{"explain", "--request", "r1", "i1.log", "--client", "10.1.2.3"},
+             UnknownFlag,
+             "--json"},
             {{"drain", "rack", "x", "--server", at}, BadValue, "target, zone, region"},
     };
     for (const auto &[words, fault, allowed] : cases) {
@@ -78,6 +82,20 @@
     }
 }
 
+// Guards against a story of a request that needs a server, or against an explanation of a caller
+// that no longer parses beside it.
+TEST(CommandLineTest, ExplainHasTwoForms)
+{
+    const auto story = parse({"explain", "--request", "r1", "i1.log", "i2.log"});
+    ASSERT_TRUE(std::holds_alternative<Command>(story));
+    EXPECT_EQ(std::get<Command>(story).request, "r1");
+    EXPECT_EQ(std::get<Command>(story).logFiles, (std::vector<std::string>{"i1.log", "i2.log"}));
+    const auto caller =
+            parse({"explain", "--service", "s", "--client", "10.1.2.3", "--server", "127.0.0.1:1"});
+    ASSERT_TRUE(std::holds_alternative<Command>(caller));
+    EXPECT_TRUE(std::get<Command>(caller).request.empty());
+}
+
 // Guards against a command whose help lacks an example or cannot be asked without other flags.
 TEST(CommandLineTest, EachCommandHasHelpWithExampleThatParses)
 {
--- a/chestnutvane/operator/commands.cc
+++ b/chestnutvane/operator/commands.cc
@@ -4,6 +4,7 @@
 
 #include <variant>
 
+#include "chestnutvane/operator/request_story.h"
 #include "chestnutvane/operator/rule_edit.h"
 #include "chestnutvane/version/rule_diff.h"
 #include "chestnutvane/version/rule_parser.h"
@@ -277,8 +278,37 @@
     return succeeded(command, body, statusText(body, context.colour));
 }
 
+CommandResult explainRequest(const Command &command, const CommandContext &context)
+{
+    std::vector<LogRecord> records;
+    for (const auto &path : command.logFiles) {
+        const auto text = context.readFile(path);
+        if (!text)
+            return failed(command, ExitStatus::Failed, "unreadable", path);
+        auto more = parseLog(*text);
+        records.insert(records.end(), std::make_move_iterator(more.begin()),
+                       std::make_move_iterator(more.end()));
+    }
+    const RequestStory story = tellStory(records, command.request);
+    json steps = json::array();
+    for (const auto &[time, instance, words] : story.steps)
+        steps.push_back({{"time", time}, {"instance", instance}, {"text", words}});
+    auto result = succeeded(command,
+                            {{"request", story.request},
+                             {"end", enumName(storyEndNames, story.end)},
+                             {"cause", story.cause},
+                             {"steps", steps},
+                             {"droppedLines", story.droppedLines}},
+                            storyText(story));
+    if (story.end == StoryEnd::NotFound)
+        result.status = ExitStatus::Failed;
+    return result;
+}
+
 CommandResult explain(const Command &command, const CommandContext &context)
 {
+    if (!command.request.empty())
+        return explainRequest(command, context);
     auto answer = read(command, context,
                        "/v1/explain?service=" + queryEncoded(command.service)
                                + "&client=" + queryEncoded(command.client));
--- /dev/null
+++ b/chestnutvane/operator/request_story.cc
@@ -0,0 +1,441 @@
+#include "chestnutvane/operator/request_story.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <map>
+#include <set>
+
+namespace chestnutvane {
+namespace internal {
+namespace {
+
+// How far from the request lines about its targets and instances count.
+constexpr std::int64_t contextMs = 10'000;
+constexpr std::int64_t msPerSecond = 1000;
+
+// Reads a number of a fixed width; nothing if it is not one.
+std::optional<std::int64_t> number(std::string_view text)
+{
+    std::int64_t result = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), result);
+    if (text.empty() || failure != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return result;
+}
+
+// Reads "2026-12-04T06:16:26.243".
+std::optional<std::int64_t> parseTime(std::string_view text)
+{
+    constexpr std::string_view shape = "dddd-dd-ddTdd:dd:dd.ddd";
+    if (text.size() != shape.size())
+        return std::nullopt;
+    for (std::size_t i = 0; i < shape.size(); ++i) {
+        const bool digit = text[i] >= '0' && text[i] <= '9';
+        if (shape[i] == 'd' ? !digit : text[i] != shape[i])
+            return std::nullopt;
+    }
+    const auto part = [text](std::size_t begin, std::size_t length) {
+        return number(text.substr(begin, length)).value_or(0);
+    };
+    namespace c = std::chrono;
+    const c::sys_days day = c::year(static_cast<int>(part(0, 4)))
+            / c::month(static_cast<unsigned>(part(5, 2)))
+            / c::day(static_cast<unsigned>(part(8, 2)));
+    const auto time = day.time_since_epoch() + c::hours(part(11, 2)) + c::minutes(part(14, 2))
+            + c::seconds(part(17, 2));
+    return c::duration_cast<c::milliseconds>(time).count() + part(20, 3);
+}
+
+std::optional<Event> eventOfNumber(std::string_view text)
+{
+    const auto wanted = number(text);
+    for (const auto &row : eventRows) {
+        if (wanted == static_cast<std::int64_t>(row.event))
+            return row.event;
+    }
+    return std::nullopt;
+}
+
+// Takes the text up to the next blank.
+std::string_view takeWord(std::string_view &rest)
+{
+    rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
+    const auto word = rest.substr(0, rest.find(' '));
+    rest.remove_prefix(word.size());
+    return word;
+}
+
+// Takes a value that may stand in quotes.
+std::string takeValue(std::string_view &rest)
+{
+    if (!rest.starts_with('"')) {
+        const auto word = rest.substr(0, rest.find(' '));
+        rest.remove_prefix(word.size());
+        return std::string(word);
+    }
+    std::string text;
+    std::size_t at = 1;
+    for (; at < rest.size() && rest[at] != '"'; ++at) {
+        if (rest[at] == '\\' && at + 1 < rest.size())
+            ++at;
+        text += rest[at];
+    }
+    rest.remove_prefix(std::min(at + 1, rest.size()));
+    return text;
+}
+
+std::string seconds(std::int64_t milliseconds)
+{
+    return fmt::format("{:.1f} s", static_cast<double>(milliseconds) / msPerSecond);
+}
+
+std::string_view warmth(const LogRecord &record)
+{
+    return record.field("warm") == "1" ? "it served the object lately"
+                                       : "it has not served the object lately";
+}
+
+// The records of one request and of its surroundings.
+class Storyteller
+{
+public:
+    Storyteller(const std::vector<LogRecord> &records, std::string_view request)
+        : records_(records), request_(request)
+    {
+        for (const LogRecord &record : records_) {
+            if (record.field("request") == request_)
+                own_.push_back(&record);
+        }
+    }
+
+    RequestStory tell()
+    {
+        RequestStory story;
+        story.request = request_;
+        if (own_.empty()) {
+            story.cause = "No line names the request. It never reached an instance whose log is "
+                          "here, or its lines were dropped.";
+            return story;
+        }
+        inOrder();
+        for (const LogRecord *record : own_)
+            story.steps.push_back({record->time, record->instance, step(*record)});
+        conclude(story);
+        for (const std::string &id : targets_)
+            story.targets.push_back(recordOf(id));
+        for (const LogRecord &record : records_) {
+            if (record.event == Event::LinesDropped && isNear(record)
+                && record.instance == own_.front()->instance) {
+                for (const auto &[name, count] : record.fields)
+                    story.droppedLines += static_cast<std::uint64_t>(number(count).value_or(0));
+            }
+        }
+        return story;
+    }
+
+private:
+    // Sorts by time, but keeps the order of each instance where its clock went back.
+    void inOrder()
+    {
+        std::map<std::string, std::int64_t> latest;
+        std::vector<std::pair<std::int64_t, const LogRecord *>> timed;
+        for (const LogRecord *record : own_) {
+            auto &time = latest.try_emplace(record->instance, record->milliseconds).first->second;
+            time = std::max(time, record->milliseconds);
+            timed.emplace_back(time, record);
+        }
+        std::stable_sort(timed.begin(), timed.end(),
+                         [](const auto &a, const auto &b) { return a.first < b.first; });
+        for (std::size_t i = 0; i < own_.size(); ++i)
+            own_[i] = timed[i].second;
+    }
+
+    [[nodiscard]] bool isNear(const LogRecord &record) const
+    {
+        return record.milliseconds >= own_.front()->milliseconds - contextMs
+                && record.milliseconds <= own_.back()->milliseconds + contextMs;
+    }
+
+    // The last record of the instance before the time given for which the condition holds.
+    template <class Condition>
+    const LogRecord *lastBefore(const LogRecord &time, Condition condition) const
+    {
+        const LogRecord *last = nullptr;
+        for (const LogRecord &record : records_) {
+            if (&record == &time)
+                break;
+            if (record.instance == time.instance && record.milliseconds <= time.milliseconds
+                && condition(record))
+                last = &record;
+        }
+        return last;
+    }
+
+    // What the instance knew of the configuration, the store and a target, with ages.
+    std::string beliefs(const LogRecord &record, std::string_view target)
+    {
+        std::string text;
+        const auto add = [&](const LogRecord *cause, const std::string &words) {
+            if (cause != nullptr)
+                text += fmt::format("; {} {} before", words,
+                                    seconds(record.milliseconds - cause->milliseconds));
+        };
+        if (const auto revision = record.field("revision"); !revision.empty())
+            add(lastBefore(record,
+                           [&](const LogRecord &other) {
+                               return other.event == Event::RoutesAdopted
+                                       && other.field("revision") == revision;
+                           }),
+                fmt::format("revision {} adopted", revision));
+        const auto *store = lastBefore(record, [](const LogRecord &other) {
+            return other.event == Event::StoreFailed || other.event == Event::StoreRegained;
+        });
+        if (store != nullptr && store->event == Event::StoreFailed)
+            add(store, "contact with the store lost");
+        if (target.empty())
+            return text;
+        const auto *news = lastBefore(record, [&](const LogRecord &other) {
+            return (other.event == Event::TargetChanged || other.event == Event::TargetAvoided)
+                    && other.field("target") == target;
+        });
+        if (news != nullptr)
+            add(news,
+                news->event == Event::TargetChanged
+                        ? fmt::format("target {}", news->field("what"))
+                        : fmt::format("target avoided after {}", news->field("reason")));
+        return text;
+    }
+
+    std::string step(const LogRecord &record)
+    {
+        const auto field = [&record](std::string_view name) { return record.field(name); };
+        const std::string target(field("target"));
+        if (!target.empty()
+            && std::find(targets_.begin(), targets_.end(), target) == targets_.end())
+            targets_.push_back(target);
+        switch (record.event) {
+        case Event::RequestRouted:
+            return fmt::format("sent to target {} in {}: {}, {} of {} slots used, answer expected "
+                               "in {} ms, waited {} ms; oldest report of load {} ms old{}",
+                               target, field("region"), warmth(record), field("load"),
+                               field("slots"), field("expected-ms"), field("waited-ms"),
+                               field("oldest-report-ms"), beliefs(record, target));
+        case Event::RequestWaits:
+            return fmt::format("waits for target {}: {}, {} of {} slots used, {} before it, {} "
+                               "waiting in all, answer expected in {} ms{}",
+                               target, warmth(record), field("load"), field("slots"),
+                               field("ahead"), field("queued"), field("expected-ms"),
+                               beliefs(record, target));
+        case Event::RequestRetried:
+            return fmt::format("to be sent again after {}; {} retries for {} requests in the "
+                               "window, {} instances",
+                               field("reason"), field("window-retries"), field("window-requests"),
+                               field("instances"));
+        case Event::RequestRefused:
+            return fmt::format("refused with status {}: {}; {} targets, {} waiting, best answer "
+                               "expected in {} ms, {} ms left of the aim, come back after {} ms{}",
+                               field("status"), field("reason"), field("targets"), field("queued"),
+                               field("expected-ms"), field("aim-left-ms"), field("retry-after-ms"),
+                               beliefs(record, {}));
+        case Event::RequestServed:
+            return fmt::format("answer of target {} with status {} after {} ms", target,
+                               field("status"), field("ms"));
+        case Event::RequestEnded:
+            if (field("result") == "caller-gone")
+                return "the caller closed its connection";
+            return fmt::format("ended without an answer: {}, status {}, outcome {}, after {} ms",
+                               field("result"), field("status"), field("outcome"), field("ms"));
+        default: {
+            std::string text(eventRow(record.event).name);
+            for (const auto &[name, value] : record.fields)
+                text += name == "request" ? "" : fmt::format(" {}={}", name, value);
+            return text;
+        }
+        }
+    }
+
+    void conclude(RequestStory &story) const
+    {
+        const LogRecord *end = nullptr;
+        bool callerGone = false;
+        for (const LogRecord *record : own_) {
+            if (record->field("result") == "caller-gone")
+                callerGone = true;
+            else if (record->event == Event::RequestServed || record->event == Event::RequestEnded
+                     || record->event == Event::RequestRefused)
+                end = record;
+        }
+        const std::string target = targets_.empty() ? "" : targets_.back();
+        if (end == nullptr)
+            return concludeWithoutEnd(story, callerGone, target);
+        if (end->event == Event::RequestServed) {
+            story.end = StoryEnd::Served;
+            story.cause = callerGone ? "It was served, but the caller had gone." : "It was served.";
+        } else if (end->event == Event::RequestRefused) {
+            story.end = StoryEnd::Refused;
+            story.cause = refusalCause(end->field("reason"));
+        } else {
+            story.end = StoryEnd::Failed;
+            story.cause = failureCause(end->field("result"), target);
+        }
+    }
+
+    void concludeWithoutEnd(RequestStory &story, bool callerGone, const std::string &target) const
+    {
+        const LogRecord &last = *own_.back();
+        if (callerGone) {
+            story.end = StoryEnd::CallerGone;
+            story.cause = "The caller left before the answer.";
+            return;
+        }
+        for (const LogRecord &record : records_) {
+            if (record.event == Event::Started && record.instance == last.instance
+                && record.milliseconds >= last.milliseconds) {
+                story.end = StoryEnd::InstanceDied;
+                story.cause = fmt::format(
+                        "Instance {} ended before the answer and started again {} later; target {} "
+                        "may have run the request.",
+                        last.instance, seconds(record.milliseconds - last.milliseconds), target);
+                return;
+            }
+        }
+        story.end = StoryEnd::Unknown;
+        story.cause = fmt::format("The log of {} has no line about the end.", last.instance);
+    }
+
+    static std::string refusalCause(std::string_view reason)
+    {
+        if (reason == "no-room")
+            return "All usable targets were so busy that the answer would have come too late.";
+        if (reason == "no-target")
+            return "No target was usable: all had left, drained, failed lately, or were tried.";
+        if (reason == "target-full" || reason == "target-refused")
+            return "The targets that were tried refused it, and no attempt was left.";
+        if (reason == "time-limit")
+            return "It waited until its time limit without being sent.";
+        if (reason == "no-route")
+            return "No route of the revision in force has this host and path.";
+        if (reason == "no-configuration")
+            return "The instance had not read a configuration yet.";
+        return fmt::format("It was refused: {}.", reason);
+    }
+
+    static std::string failureCause(std::string_view result, const std::string &target)
+    {
+        if (result == "time-limit")
+            return fmt::format("Target {} gave no answer until the time limit.", target);
+        if (result == "connection-lost")
+            return fmt::format("Target {} closed the connection without an answer; the request may "
+                               "have run and must not be repeated, or no attempt was left.",
+                               target);
+        if (result == "garbled")
+            return fmt::format("The bytes from target {} were no answer to this request.", target);
+        if (result == "target-failed")
+            return fmt::format("Target {} answered with a failure of its own.", target);
+        return fmt::format("The attempt at target {} failed: {}.", target, result);
+    }
+
+    // Counts what other requests met at a target.
+    [[nodiscard]] TargetRecord recordOf(const std::string &id) const
+    {
+        TargetRecord result;
+        result.id = id;
+        for (const LogRecord &record : records_) {
+            if (record.field("target") != id || !isNear(record)
+                || record.field("request") == request_)
+                continue;
+            result.served += record.event == Event::RequestServed ? 1 : 0;
+            result.failed += record.event == Event::RequestEnded ? 1 : 0;
+            result.avoided += record.event == Event::TargetAvoided ? 1 : 0;
+        }
+        return result;
+    }
+
+    const std::vector<LogRecord> &records_;
+    std::string request_;
+    std::vector<const LogRecord *> own_;
+    std::vector<std::string> targets_;
+};
+
+} // namespace
+} // namespace internal
+
+std::string_view LogRecord::field(std::string_view name) const
+{
+    for (const auto &[key, value] : fields) {
+        if (key == name)
+            return value;
+    }
+    return {};
+}
+
+std::optional<LogRecord> parseLogLine(std::string_view line)
+{
+    LogRecord record;
+    std::string_view rest = line;
+    for (;;) {
+        const auto word = internal::takeWord(rest);
+        if (word.empty())
+            return std::nullopt;
+        if (const auto time = internal::parseTime(word)) {
+            record.time = word;
+            record.milliseconds = *time;
+            break;
+        }
+    }
+    record.instance = internal::takeWord(rest);
+    internal::takeWord(rest); // the level follows from the event
+    const auto event = internal::eventOfNumber(internal::takeWord(rest));
+    if (!event || internal::takeWord(rest) != eventRow(*event).name)
+        return std::nullopt;
+    record.event = *event;
+    while (!rest.empty()) {
+        rest.remove_prefix(std::min(rest.find_first_not_of(' '), rest.size()));
+        const auto equals = rest.find('=');
+        if (equals == std::string_view::npos)
+            break;
+        std::string key(rest.substr(0, equals));
+        rest.remove_prefix(equals + 1);
+        record.fields.emplace_back(std::move(key), internal::takeValue(rest));
+    }
+    return record;
+}
+
+std::vector<LogRecord> parseLog(std::string_view text)
+{
+    std::vector<LogRecord> records;
+    while (!text.empty()) {
+        const auto line = text.substr(0, text.find('\n'));
+        text.remove_prefix(std::min(line.size() + 1, text.size()));
+        if (auto record = parseLogLine(line))
+            records.push_back(std::move(*record));
+    }
+    return records;
+}
+
+RequestStory tellStory(const std::vector<LogRecord> &records, std::string_view request)
+{
+    return internal::Storyteller(records, request).tell();
+}
+
+std::string storyText(const RequestStory &story)
+{
+    std::string text =
+            fmt::format("request {}: {}\n", story.request, enumName(storyEndNames, story.end));
+    for (const auto &[time, instance, words] : story.steps)
+        text += fmt::format("  {} {} {}\n", time, instance, words);
+    text += fmt::format("cause: {}\n", story.cause);
+    for (const TargetRecord &target : story.targets)
+        text += fmt::format("target {}: {} other requests served, {} failed, avoided {} times, in "
+                            "the 10 s around\n",
+                            target.id, target.served, target.failed, target.avoided);
+    if (story.droppedLines > 0)
+        text += fmt::format("{} lines of the instance are missing in the 10 s around\n",
+                            story.droppedLines);
+    return text;
+}
+
+} // namespace chestnutvane
--- a/chestnutvane/process/log.cc
+++ b/chestnutvane/process/log.cc
@@ -2,7 +2,9 @@
 
 #include <easylogging++.h>
 
+#include <array>
 #include <atomic>
+#include <cstdio>
 #include <span>
 #include <vector>
 
@@ -100,6 +102,14 @@
 } // namespace
 } // namespace internal
 
+LogField::LogField(std::string_view fieldKey, double number) : key(fieldKey)
+{
+    constexpr std::size_t longest = 16; // "-1.23e-308" and the end mark
+    std::array<char, longest> text{};
+    std::snprintf(text.data(), text.size(), "%.3g", number);
+    value = text.data();
+}
+
 void setUpLog(LogLevel lowest, std::uint32_t sample, const std::string &instanceId)
 {
     internal::lowestLevel = lowest;
--- a/chestnutvane/process/log.h
+++ b/chestnutvane/process/log.h
@@ -25,9 +25,10 @@
     LogField(std::string_view fieldKey, const char *text) : key(fieldKey), value(text) { }
     LogField(std::string_view fieldKey, const std::string &text) : key(fieldKey), value(text) { }
     template <class Number>
-    requires std::is_arithmetic_v<Number> LogField(std::string_view fieldKey, Number number)
+    requires std::is_integral_v<Number> LogField(std::string_view fieldKey, Number number)
         : key(fieldKey), value(std::to_string(number))
     { }
+    LogField(std::string_view fieldKey, double number); // three significant digits
 
     std::string_view key;
     std::string value;
