Shorten reports between instances, and read the store once for a small fleet

Reports were most of the traffic: each held the sender's names, and each request told all instances of an object that they knew already. The calls were those of a reader in each region, of 81 leases renewed each 1.3 s and of lists read each 2 s, though reports tell of deaths within two seconds.

- Names go with one report in 0.9 s; hashes have 32 bits; an object is told again only when half of what its target keeps was served there since.
- A lease of 12 s, renewed each 4 s; the list of instances each 6 s.
- One reader for all regions where its word is there in time.

The line of a routed request has the number of targets, the queue and the age of the oldest report.

--- a/chestnutvane/process/gateway/feed_sharing.cc
+++ b/chestnutvane/process/gateway/feed_sharing.cc
@@ -40,7 +40,14 @@
     return freshness.isOutdated() || now - freshness.confirmedAt() >= limit;
 }
 
-bool isReaderOf(const std::string &self, const std::vector<ReaderCandidate> &others)
+bool isOneReaderEnough(Milliseconds reportPeriod)
+{
+    // Time of a read and of a report on their way between regions.
+    constexpr Milliseconds paths{200};
+    return readerPeriod + reportPeriod + paths < confirmationLimit;
+}
+
+bool isReader(const std::string &self, const std::vector<ReaderCandidate> &others)
 {
     const std::uint64_t own = hash64(self);
     return std::none_of(others.begin(), others.end(), [own](const ReaderCandidate &other) {
--- a/chestnutvane/process/gateway/feed_sharing.h
+++ b/chestnutvane/process/gateway/feed_sharing.h
@@ -1,11 +1,11 @@
 // Decides when an instance reads the platform's store itself, and when the word of another one will
 // do.
 //
-// Answers the price of calls that grows with the fleet: in each region one instance reads often and
-// tells the others a fingerprint of what it read and how long ago. An instance whose own state has
-// that fingerprint knows that it is as fresh; one with another fingerprint reads once. An instance
-// that gets no word in time reads by itself, so the death, a pause or a cut of the reader delays
-// news by the confirmation limit at most.
+// Answers the price of calls that grows with the fleet: in each region, or in a small fleet only
+// once, an instance reads often and tells the others a fingerprint of what it read and how long
+// ago. An instance whose own state has that fingerprint knows that it is as fresh; one with another
+// fingerprint reads once. An instance that gets no word in time reads by itself, so the death, a
+// pause or a cut of the reader delays news by the confirmation limit at most.
 //
 // Example:
 //
@@ -74,15 +74,19 @@
 // Whether to read now.
 bool isReadDue(const FeedFreshness &freshness, bool isReader, BootTime now);
 
-// Another instance of the own region, as a possible reader.
+// Whether one reader will do for all regions: what it reads is heard there, within the period of
+// the reports that cross regions, before the instances would read by themselves.
+bool isOneReaderEnough(Milliseconds reportPeriod);
+
+// Another instance as a possible reader.
 struct ReaderCandidate
 {
     std::string id;
     Milliseconds age{0}; // of what it knows
 };
 
-// Whether the instance is the one that reads for its region: the first by a hash of the id among
-// those whose knowledge is fresh.
-bool isReaderOf(const std::string &self, const std::vector<ReaderCandidate> &others);
+// Whether the instance is the one that reads: the first by a hash of the id among those whose
+// knowledge is fresh.
+bool isReader(const std::string &self, const std::vector<ReaderCandidate> &others);
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/feed_sharing_test.cc
+++ b/chestnutvane/process/gateway/feed_sharing_test.cc
@@ -72,6 +72,31 @@
     EXPECT_EQ(third.confirmedAt(), start);
 }
 
+// Guards against instances that read by themselves although another region reads, because its word
+// comes after the confirmation limit.
+TEST(FeedSharingTest, OneReaderIsEnoughOnlyIfItsWordComesInTime)
+{
+    for (const Milliseconds period : {200ms, 400ms, 900ms}) {
+        if (!isOneReaderEnough(period))
+            continue;
+        FeedFreshness reader;
+        FeedFreshness other;
+        other.onOwnRead(start, 7);
+        for (BootTime read = start; read < start + 20s; read += readerPeriod) {
+            reader.onOwnRead(read, 7);
+            // Reports leave at the period; the first one after the read comes last at worst.
+            for (BootTime sent = read + period; sent < read + readerPeriod + period;
+                 sent += period) {
+                EXPECT_FALSE(isReadDue(other, false, sent)) << period.count();
+                constexpr auto path = 60ms;
+                other.onPeer(reader.status(sent), sent + path);
+            }
+        }
+    }
+    EXPECT_TRUE(isOneReaderEnough(200ms));
+    EXPECT_FALSE(isOneReaderEnough(900ms));
+}
+
 // Guards against two readers in a region, and against none when the first one is not fresh.
 TEST(FeedSharingTest, OneInstanceReadsForARegion)
 {
@@ -84,7 +109,7 @@
             if (other != id)
                 others.push_back({other, 100ms});
         }
-        if (isReaderOf(id, others)) {
+        if (isReader(id, others)) {
             ++readers;
             reader = id;
         }
@@ -97,7 +122,7 @@
             if (other != id)
                 others.push_back({other, other == reader ? Milliseconds(2000) : Milliseconds(100)});
         }
-        next += id != reader && isReaderOf(id, others) ? 1 : 0;
+        next += id != reader && isReader(id, others) ? 1 : 0;
     }
     EXPECT_EQ(next, 1);
 }
--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -13,6 +13,9 @@
 // Notes above this number would not fit into one datagram of an Ethernet frame; the oldest go
 // first.
 constexpr std::size_t maxWarmNotes = 50;
+// The names of the sender go with one report in this time, so that an instance that lost one knows
+// the sender before it would be taken for dead.
+constexpr Milliseconds namesPeriod{900};
 // An instance that is neither listed nor heard for this long gets no more reports.
 constexpr std::chrono::seconds forgottenAfter{30};
 
@@ -121,8 +124,14 @@
         return;
     }
     LoadReport &load = value(report);
-    if (load.sender.id == self_.id)
+    if (load.sender.incarnation == self_.incarnation)
         return;
+    if (load.sender.id.empty()) {
+        const auto identity = gateway_.fleet().identityOf(load.sender.incarnation);
+        if (!identity)
+            return; // the report with its names was lost; they are sent again within a second
+        load.sender = *identity;
+    }
     const TimePoint now = Clock::now();
     const auto known = gateway_.fleet().peers().find(load.sender.id);
     const bool isNew = known == gateway_.fleet().peers().end()
@@ -133,13 +142,15 @@
                  {{"instance", load.sender.id},
                   {"state", enumName(peerStateNames, load.state)},
                   {"new", isNew ? 1 : 0}});
-    if (takeFeed_ && settings_.regionOf(load.sender.zone) == settings_.regionOf(self_.zone))
+    if (takeFeed_)
         takeFeed_(load);
     const PeerIdentity sender = load.sender;
     const auto warm = load.warm;
     gateway_.noteWarm(warm);
     if (gateway_.fleet().merge(std::move(load), now)) {
         addPeer(sender);
+        if (isNew)
+            receivers_[sender.id].namesSent = {}; // it does not know this instance's names
         gateway_.reconsiderAfterReport();
     }
 }
@@ -182,10 +193,16 @@
     if (fillFeed_)
         fillFeed_(report);
     report.warm = std::exchange(receiver.warm, {});
-    const std::string datagram = encodeReport(report);
+    const TimePoint now = Clock::now();
+    const bool withNames = now - receiver.namesSent >= namesPeriod || state_ != receiver.stateSent;
+    const std::string datagram =
+            encodeReport(report, withNames ? IdentityPart::Full : IdentityPart::Incarnation);
+    if (withNames)
+        receiver.namesSent = now;
+    receiver.stateSent = state_;
     Error ignored; // a report that is lost is replaced by the next
     socket_.send_to(net::buffer(datagram), receiver.endpoint, 0, ignored);
-    receiver.sent = Clock::now();
+    receiver.sent = now;
 }
 
 ReportPace FleetLink::pace() const
@@ -196,13 +213,18 @@
     return reportPace(inRegion, receivers_.size() - inRegion);
 }
 
-void FleetLink::setState(PeerState state)
+void FleetLink::sendNews()
 {
-    state_ = state;
     for (auto &[id, receiver] : receivers_)
         sendTo(receiver);
 }
 
+void FleetLink::setState(PeerState state)
+{
+    state_ = state;
+    sendNews();
+}
+
 void FleetLink::tick()
 {
     const TimePoint now = Clock::now();
--- a/chestnutvane/process/gateway/fleet_link.h
+++ b/chestnutvane/process/gateway/fleet_link.h
@@ -35,9 +35,9 @@
     Milliseconds elsewhere{0}; // and to one of another region
 };
 
-// Reports that one instance sends in a second, at most about. At 600 bytes they take an eighth of a
-// link of 10 Mbit/s, the narrowest of the platform; without a bound, 27 instances in a region sent
-// 13 Mbit/s each.
+// Reports that one instance sends in a second, at most about. At 600 bytes, several times the usual
+// length, they take an eighth of a link of 10 Mbit/s, the narrowest of the platform; without a
+// bound, 27 instances in a region sent 13 Mbit/s each.
 inline constexpr int reportsPerSecondInRegion = 250;
 inline constexpr int reportsPerSecondElsewhere = 100;
 // A change is news for requests that come after it, so it need not go out faster than this.
@@ -77,8 +77,11 @@
         takeFeed_ = std::move(take);
     }
 
-    // Sends a report to the own region soon.
-    void sendSoon() { arrangeSoon(); }
+    // Sends a report to all other instances, because what this one knows of the store has changed.
+    void sendNews();
+
+    // How often this instance sends reports now.
+    [[nodiscard]] ReportPace pace() const;
 
     // Tells all other instances of a new state at once.
     void setState(PeerState state);
@@ -91,6 +94,8 @@
         bool ownRegion = false;
         std::vector<WarmNote> warm; // not sent yet
         TimePoint sent;
+        TimePoint namesSent; // when the sender's names went with a report
+        PeerState stateSent = PeerState::Starting;
         TimePoint heard;
     };
 
@@ -103,7 +108,6 @@
     void sendTo(Receiver &receiver);
     void tick();
     void arrangeSoon();
-    [[nodiscard]] ReportPace pace() const;
 
     PeerIdentity self_;
     const GatewaySettings &settings_;
--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -89,7 +89,7 @@
     pending->id = headerText(request, settings_.headers.requestId);
     if (const std::string key = headerText(request, settings_.headers.objectKey);
         route.objectAffinity && !key.empty())
-        pending->object = hash64(key, hash64(route.pathPrefix));
+        pending->object = reportKey(hash64(key, hash64(route.pathPrefix)));
     Milliseconds limit = route.timeLimit;
     if (auto deadline = parseMilliseconds(headerText(request, settings_.headers.deadlineMs)))
         limit = std::min(limit, *deadline);
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -31,6 +31,9 @@
 constexpr double slownessWeight = 0.2;
 constexpr double minSlowness = 0.5;
 constexpr double maxSlowness = 20;
+// The other instances are told again of an object that a target holds once this part of the objects
+// that it keeps were served there since: before they would take it for forgotten.
+constexpr std::size_t noteRenewal = 2;
 // Refusals tell the caller to come back within these bounds.
 constexpr Milliseconds atOnce{10};
 constexpr Milliseconds shortestRetryAfter{10};
@@ -109,12 +112,17 @@
               {"warm", candidate.warm ? 1 : 0},
               {"load", candidate.load},
               {"slots", candidate.slots},
+              {"targets", pending->candidates},
+              {"queued", pending->queued},
+              {"oldest-report-ms", toMilliseconds(fleet_.oldestCounted(now))},
               {"waited-ms", toMilliseconds(now - pending->call.arrival)},
               {"expected-ms", toMilliseconds(expectedAnswer(candidate, work))}});
     pending->exchange = TargetExchange::start(
             io_, pool_, std::move(request),
             [this, pending](ExchangeResult result) { onResult(pending, std::move(result)); });
-    changed(pending->object != 0 ? &note : nullptr);
+    const bool isNews = !pending->sentDepth
+            || *pending->sentDepth >= keptObjects(pending->service).kept() / noteRenewal;
+    changed(pending->object != 0 && isNews ? &note : nullptr);
 }
 
 std::shared_ptr<HttpRequestMessage> Gateway::makeMessage(const PendingRequest &pending,
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -133,7 +133,10 @@
     events.onInstances = [this](const std::vector<PeerIdentity> &instances) {
         link_->keepOnly(instances);
     };
-    events.onChanged = [this] { link_->sendSoon(); };
+    events.onChanged = [this] {
+        if (feed_.isReader())
+            link_->sendNews();
+    };
     return events;
 }
 
@@ -249,15 +252,18 @@
 {
     std::vector<ReaderCandidate> others;
     const TimePoint now = Clock::now();
+    const bool oneReader = isOneReaderEnough(link_->pace().elsewhere);
     for (const auto &[id, peer] : gateway_.fleet().peers()) {
         const LoadReport &report = peer.report;
-        if (settings_.regionOf(report.sender.zone) != settings_.regionOf(self_.zone)
-            || report.state != PeerState::Serving || now - peer.heard > FleetView::aliveLimit)
+        const bool ownRegion =
+                settings_.regionOf(report.sender.zone) == settings_.regionOf(self_.zone);
+        if ((!ownRegion && !oneReader) || report.state != PeerState::Serving
+            || now - peer.heard > FleetView::aliveLimit)
             continue;
         const auto since = std::chrono::duration_cast<Milliseconds>(now - peer.heard);
         others.push_back({id, report.targetsFeed.age + since});
     }
-    feed_.setReader(isReaderOf(self_.id, others));
+    feed_.setReader(isReader(self_.id, others));
 }
 
 void GatewayProcess::tick()
--- a/chestnutvane/process/gateway/load_report.cc
+++ b/chestnutvane/process/gateway/load_report.cc
@@ -10,7 +10,7 @@
 using Json = nlohmann::json;
 
 // Raised with each change that older instances cannot read.
-constexpr int formatVersion = 2;
+constexpr int formatVersion = 3;
 
 Json encodeCounts(const std::map<std::uint64_t, int> &counts)
 {
@@ -32,18 +32,22 @@
 
 } // namespace
 
-std::string encodeReport(const LoadReport &report)
+std::string encodeReport(const LoadReport &report, IdentityPart part)
 {
     Json warm = Json::array();
     for (const auto &[target, object] : report.warm) {
         warm.push_back(target);
         warm.push_back(object);
     }
+    Json identity = Json::array({report.sender.incarnation});
+    if (part == IdentityPart::Full) {
+        for (const auto &text : {report.sender.id, report.sender.zone, report.sender.callerAddress,
+                                 report.sender.reportAddress})
+            identity.push_back(text);
+    }
     const Json list = Json::array(
-            {formatVersion, report.sender.id, report.sender.incarnation, report.sender.zone,
-             report.sender.callerAddress, report.sender.reportAddress,
-             static_cast<int>(report.state), report.sequence, report.revision,
-             encodeCounts(report.inFlight), encodeCounts(report.queued), warm,
+            {formatVersion, identity, static_cast<int>(report.state), report.sequence,
+             report.revision, encodeCounts(report.inFlight), encodeCounts(report.queued), warm,
              report.targetsFeed.fingerprint, report.targetsFeed.age.count(),
              report.operatorFeed.fingerprint, report.operatorFeed.age.count()});
     std::string text;
@@ -58,20 +62,24 @@
         if (list.at(0).get<int>() != formatVersion)
             return ReportError{"format version " + std::to_string(list.at(0).get<int>())};
         LoadReport report;
-        report.sender = {list.at(1), list.at(2), list.at(3), list.at(4), list.at(5)};
-        const int state = list.at(6);
+        const Json &identity = list.at(1);
+        report.sender.incarnation = identity.at(0);
+        if (identity.size() > 1)
+            report.sender = {identity.at(1), report.sender.incarnation, identity.at(2),
+                             identity.at(3), identity.at(4)};
+        const int state = list.at(2);
         if (state < 0 || state > static_cast<int>(PeerState::Stopping))
             return ReportError{"state " + std::to_string(state)};
         report.state = static_cast<PeerState>(state);
-        report.sequence = list.at(7);
-        report.revision = list.at(8);
-        report.inFlight = decodeCounts(list.at(9));
-        report.queued = decodeCounts(list.at(10));
-        const Json &warm = list.at(11);
+        report.sequence = list.at(3);
+        report.revision = list.at(4);
+        report.inFlight = decodeCounts(list.at(5));
+        report.queued = decodeCounts(list.at(6));
+        const Json &warm = list.at(7);
         for (std::size_t i = 0; i + 1 < warm.size(); i += 2)
             report.warm.push_back({warm.at(i), warm.at(i + 1)});
-        report.targetsFeed = {list.at(12), Milliseconds(list.at(13).get<Milliseconds::rep>())};
-        report.operatorFeed = {list.at(14), Milliseconds(list.at(15).get<Milliseconds::rep>())};
+        report.targetsFeed = {list.at(8), Milliseconds(list.at(9).get<Milliseconds::rep>())};
+        report.operatorFeed = {list.at(10), Milliseconds(list.at(11).get<Milliseconds::rep>())};
         return report;
     } catch (const Json::exception &failure) {
         return ReportError{failure.what()};
@@ -93,6 +101,15 @@
     return true;
 }
 
+std::optional<PeerIdentity> FleetView::identityOf(std::uint64_t incarnation) const
+{
+    for (const auto &[id, peer] : peers_) {
+        if (peer.report.sender.incarnation == incarnation)
+            return peer.report.sender;
+    }
+    return std::nullopt;
+}
+
 void FleetView::addToSums(Peer &peer)
 {
     for (const auto &[target, count] : peer.report.inFlight)
@@ -149,6 +166,16 @@
     return sum;
 }
 
+Duration FleetView::oldestCounted(TimePoint now) const
+{
+    Duration oldest{0};
+    for (const auto &[id, peer] : peers_) {
+        if (peer.counted)
+            oldest = std::max(oldest, now - peer.heard);
+    }
+    return oldest;
+}
+
 bool FleetView::isAlive(const std::string &id, TimePoint now) const
 {
     const auto found = peers_.find(id);
--- a/chestnutvane/process/gateway/load_report.h
+++ b/chestnutvane/process/gateway/load_report.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -51,7 +52,8 @@
     friend bool operator==(const PeerIdentity &, const PeerIdentity &) = default;
 };
 
-// An object that a target served.
+// An object that a target served. Both hashes have 32 bits: two of a few hundred targets or objects
+// share one in less than a fleet of 10,000, and then only an estimate is off.
 struct WarmNote
 {
     std::uint64_t target = 0; // hash of its id
@@ -80,10 +82,18 @@
     std::string detail;
 };
 
+// Which part of the sender's identity a datagram holds. Reports are the largest part of the traffic
+// between instances, and the names would be half of each.
+enum class IdentityPart {
+    Full,
+    Incarnation, // for receivers that were told the rest
+};
+
 // Encodes a report for one datagram (CBOR).
-std::string encodeReport(const LoadReport &report);
+std::string encodeReport(const LoadReport &report, IdentityPart part = IdentityPart::Full);
 
-// Decodes a datagram. Errors: anything that encodeReport() does not write.
+// Decodes a datagram; the sender has only an incarnation if no more was sent. Errors: anything that
+// encodeReport() does not write.
 Result<LoadReport, ReportError> decodeReport(std::string_view datagram);
 
 // The latest report of each other instance.
@@ -100,6 +110,9 @@
     // Takes a report unless a later one of the same incarnation is there. Returns whether it did.
     bool merge(LoadReport report, TimePoint now);
 
+    // Who sends under an incarnation, if a report told.
+    [[nodiscard]] std::optional<PeerIdentity> identityOf(std::uint64_t incarnation) const;
+
     // Requests of other instances at a target, by reports that are not older than reportLife.
     // Takes constant time but for the first call after a report has lapsed, as it is asked for each
     // target of each placement.
@@ -110,6 +123,9 @@
                                    const std::map<std::string, std::string> &zoneRegions,
                                    TimePoint now) const;
 
+    // Age of the oldest report that counts for inFlightAt(), zero without any.
+    [[nodiscard]] Duration oldestCounted(TimePoint now) const;
+
     [[nodiscard]] bool isAlive(const std::string &id, TimePoint now) const;
     [[nodiscard]] const std::map<std::string, Peer> &peers() const { return peers_; }
 
--- a/chestnutvane/process/gateway/load_report_test.cc
+++ b/chestnutvane/process/gateway/load_report_test.cc
@@ -35,6 +35,33 @@
     EXPECT_EQ(value(received), sent);
 }
 
+// Guards against names in every report, which made reports most of the traffic between instances,
+// and against a report that loses more than the names.
+TEST(LoadReportTest, AReportWithoutNamesHasAllElse)
+{
+    LoadReport sent = report("a", 9, {{1, 2}, {0xffffffff, 1}});
+    const std::string full = encodeReport(sent);
+    const std::string shorter = encodeReport(sent, IdentityPart::Incarnation);
+    EXPECT_LE(shorter.size() + sent.sender.zone.size() + sent.sender.callerAddress.size()
+                      + sent.sender.reportAddress.size(),
+              full.size());
+    const auto received = decodeReport(shorter);
+    ASSERT_TRUE(isOk(received));
+    sent.sender = PeerIdentity{.incarnation = sent.sender.incarnation};
+    EXPECT_EQ(value(received), sent);
+}
+
+// Guards against figures that are kept under another instance's names.
+TEST(FleetViewTest, AnIncarnationHasTheNamesOfItsLastFullReport)
+{
+    FleetView view;
+    EXPECT_FALSE(view.identityOf(7));
+    view.merge(report("a", 1, {}), start);
+    ASSERT_TRUE(view.identityOf(7));
+    EXPECT_EQ(view.identityOf(7)->id, "a");
+    EXPECT_FALSE(view.identityOf(8));
+}
+
 // Guards against an exception or a report made up from other bytes.
 TEST(LoadReportTest, OtherBytesAreRefused)
 {
--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -13,10 +13,13 @@
 
 using Json = nlohmann::json;
 
-// The entry of an instance that died is gone after this time.
-constexpr Milliseconds leaseTtl{4000};
-constexpr Milliseconds leaseRenewal{1300};
-constexpr Milliseconds instancePeriod{2000};
+// The entry of an instance that died is gone after this time. Only an instance that starts, or that
+// hears no other one, goes by the entries; reports tell the others of a death within two seconds.
+constexpr Milliseconds leaseTtl{12'000};
+constexpr Milliseconds leaseRenewal{4000}; // a third: two renewals may fail
+// An instance that starts tells all that it finds in the list, so that later reads only find those
+// whose first reports were lost.
+constexpr Milliseconds instancePeriod{6000};
 // Instances that start together find each other sooner with more frequent reads at first.
 constexpr Milliseconds startPeriod{400};
 constexpr std::chrono::seconds startPhase{6};
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store_feed.h
@@ -83,11 +83,12 @@
 
     void start();
 
-    // Takes what another instance of the region knows.
+    // Takes what another instance knows.
     void onPeer(const FeedStatus &targets, const FeedStatus &operatorKeys);
 
-    // Whether this instance reads for its region.
-    void setReader(bool isReader) { isReader_ = isReader; }
+    // Whether this instance reads for others.
+    void setReader(bool reader) { isReader_ = reader; }
+    [[nodiscard]] bool isReader() const { return isReader_; }
 
     // What this instance knows, for reports.
     [[nodiscard]] FeedStatus targetsStatus() const;
--- a/chestnutvane/process/gateway/target_registry.cc
+++ b/chestnutvane/process/gateway/target_registry.cc
@@ -81,7 +81,7 @@
         auto &target = byId_[entry.id];
         if (!target) {
             target = std::make_shared<Target>();
-            target->hash = hash64(entry.id);
+            target->hash = reportKey(hash64(entry.id));
             changes.push_back({entry.id, TargetNews::Added});
             target->coldUntil = now + entry.coldRemaining;
             target->joined = now;
--- a/chestnutvane/process/gateway/target_registry.h
+++ b/chestnutvane/process/gateway/target_registry.h
@@ -42,6 +42,14 @@
     friend bool operator==(const TargetEntry &, const TargetEntry &) = default;
 };
 
+// Shortens a hash to the 32 bits by which reports name targets and objects. Never 0, which stands
+// for none.
+constexpr std::uint64_t reportKey(std::uint64_t hash)
+{
+    constexpr std::uint64_t mask = 0xffffffff;
+    return (hash & mask) == 0 ? 1 : hash & mask;
+}
+
 // The objects that a target served most recently, which it serves faster.
 class WarmObjects
 {
