Let an instance that starts without the store learn from another one

The others go on sending it reports for 30 s. It now asks one of them for what that one has read (GET /v1/feed on the metrics address, CBOR) and serves with it, as old as it is; an own read replaces it.

Now the lease is 3 s, and an instance that hears nobody reads the list each 0.8 s.

Ruled out: addresses of the others as a setting; the platform's settings do not have them.

--- a/chestnutvane/process/gateway/crowded_gateway.h
+++ b/chestnutvane/process/gateway/crowded_gateway.h
@@ -52,7 +52,7 @@
     void report()
     {
         LoadReport load;
-        load.sender = {"other", 1, "near", "127.0.0.1:2", "127.0.0.1:3"};
+        load.sender = {"other", 1, "near", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"};
         load.state = PeerState::Serving;
         load.sequence = ++sequence_;
         for (const auto &[hash, target] : gateway.registry().all())
--- a/chestnutvane/process/gateway/feed_sharing.h
+++ b/chestnutvane/process/gateway/feed_sharing.h
@@ -52,6 +52,9 @@
     // The time as of which the own content is known to have held.
     [[nodiscard]] BootTime confirmedAt() const { return confirmedAt_; }
 
+    // Content has been read at all.
+    [[nodiscard]] bool hasRead() const { return fingerprint_ != 0; }
+
     // Another instance has read other content after the own content was last confirmed.
     [[nodiscard]] bool isOutdated() const { return outdated_; }
 
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -1,8 +1,11 @@
 #include "chestnutvane/process/gateway/gateway_process.h"
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 
+#include <boost/asio/post.hpp>
+
 #include "chestnutvane/process/log.h"
 
 namespace chestnutvane {
@@ -15,6 +18,11 @@
 constexpr Milliseconds lingerAfterStop{3500};
 constexpr Milliseconds endCheckPeriod{50};
 
+// Path on the metrics address under which instances tell each other what they have read.
+constexpr std::string_view feedPath = "/v1/feed";
+// Longer than an answer of 1 MB takes on the slowest link, 10 Mbit/s.
+constexpr Milliseconds feedTimeout{1500};
+
 std::uint64_t randomIncarnation()
 {
     std::random_device device;
@@ -26,25 +34,26 @@
 
 PeerIdentity identityOf(const GatewaySettings &settings)
 {
-    return {settings.instanceId, randomIncarnation(), settings.zone, settings.callerAddress,
-            settings.reportAddress};
+    return {settings.instanceId,    randomIncarnation(),    settings.zone,
+            settings.callerAddress, settings.reportAddress, settings.metricsAddress};
 }
 
 } // namespace
 
 GatewayProcess::GatewayProcess(net::io_context &io, const GatewaySettings &settings,
-                               GatewayPlatform platform)
-    : io_(io), settings_(settings), platform_(std::move(platform)), self_(identityOf(settings_)),
-      gateway_(io, settings_, metrics_),
+                               GatewayPlatform platform, HttpClient &client)
+    : io_(io), settings_(settings), platform_(std::move(platform)), client_(client),
+      self_(identityOf(settings_)), gateway_(io, settings_, metrics_),
       feed_(io, platform_.store, platform_.format, self_, feedEvents()),
       signals_(io, SIGTERM, SIGINT, SIGHUP), tickTimer_(io), endTimer_(io)
 { }
 
 Result<std::unique_ptr<GatewayProcess>, ListenError>
 GatewayProcess::create(net::io_context &io, const GatewaySettings &settings,
-                       GatewayPlatform platform)
+                       GatewayPlatform platform, HttpClient &client)
 {
-    std::unique_ptr<GatewayProcess> process(new GatewayProcess(io, settings, std::move(platform)));
+    std::unique_ptr<GatewayProcess> process(
+            new GatewayProcess(io, settings, std::move(platform), client));
     if (auto failure = process->listen())
         return *failure;
     process->feed_.start();
@@ -178,6 +187,14 @@
 void GatewayProcess::answerMetrics(Call call) const
 {
     HttpResponseMessage message(http::status::ok, 11);
+    const auto target = call.request->target();
+    if (std::string_view(target.data(), target.size()) == feedPath) {
+        if (!feed_.hasReadAll())
+            return call.answer(HttpResponseMessage(http::status::service_unavailable, 11));
+        message.set(http::field::content_type, "application/cbor");
+        message.body() = encodeFeedContent(feed_.content());
+        return call.answer(std::move(message));
+    }
     message.set(http::field::content_type, "text/plain");
     message.body() = metrics_.exposition();
     call.answer(std::move(message));
@@ -266,11 +283,59 @@
     feed_.setReader(isReader(self_.id, others));
 }
 
+// While the store is away, an instance that starts knows neither routes nor targets. The others
+// still send it reports if it served before, so it asks one of them.
+void GatewayProcess::learnFromPeer()
+{
+    if (feed_.hasReadAll() || !feed_.isContactLost() || asksPeer_)
+        return;
+    const auto &peers = gateway_.fleet().peers();
+    const auto canTell = [this](const auto &entry) {
+        return entry.second.report.state == PeerState::Serving
+                && gateway_.fleet().isAlive(entry.first, Clock::now());
+    };
+    // Another one each time, as one may be cut off.
+    auto found = std::find_if(peers.upper_bound(askedPeer_), peers.end(), canTell);
+    if (found == peers.end())
+        found = std::find_if(peers.begin(), peers.end(), canTell);
+    if (found == peers.end())
+        return;
+    asksPeer_ = true;
+    askedPeer_ = found->first;
+    HttpRequest request;
+    request.url = "http://" + found->second.report.sender.metricsAddress + std::string(feedPath);
+    request.timeout = feedTimeout;
+    client_.send(std::move(request),
+                 [this, peer = askedPeer_, asked = BootClock::now()](auto answer) {
+                     net::post(io_, [this, peer, asked, answer = std::move(answer)] {
+                         onShared(peer, asked, answer);
+                     });
+                 });
+}
+
+void GatewayProcess::onShared(const std::string &peer, BootTime asked,
+                              const Result<HttpResponse, HttpError> &answer)
+{
+    asksPeer_ = false;
+    std::string problem;
+    if (!isOk(answer)) {
+        problem = error(answer).detail;
+    } else if (constexpr int ok = 200; value(answer).status != ok) {
+        problem = "status " + std::to_string(value(answer).status);
+    } else if (auto content = decodeFeedContent(value(answer).body); isOk(content)) {
+        feed_.takeShared(value(content), asked);
+    } else {
+        problem = error(content).detail;
+    }
+    logEvent(Event::ConfigFetched, {{"peer", peer}, {"problem", problem}});
+}
+
 void GatewayProcess::tick()
 {
     gateway_.tick();
     flushLog();
     chooseReader();
+    learnFromPeer();
     constexpr Milliseconds period{500};
     tickTimer_.expires_after(period);
     tickTimer_.async_wait([this](const boost::system::error_code &ended) {
--- a/chestnutvane/process/gateway/gateway_process.h
+++ b/chestnutvane/process/gateway/gateway_process.h
@@ -3,7 +3,7 @@
 //
 // Example:
 //
-//   auto process = GatewayProcess::create(io, settings, platform);
+//   auto process = GatewayProcess::create(io, settings, platform, client);
 //   io.run(); // returns when the shutdown is complete
 //
 // Not thread-safe: everything runs on the io_context's one thread.
@@ -17,6 +17,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "chestnutvane/connection/caller_connection.h"
+#include "chestnutvane/connection/http_client.h"
 #include "chestnutvane/process/gateway/directory.h"
 #include "chestnutvane/process/gateway/fleet_link.h"
 #include "chestnutvane/process/gateway/gateway.h"
@@ -39,8 +40,10 @@
 class GatewayProcess
 {
 public:
+    // The client must outlive the last callback of the io_context.
     static Result<std::unique_ptr<GatewayProcess>, ListenError>
-    create(net::io_context &io, const GatewaySettings &settings, GatewayPlatform platform);
+    create(net::io_context &io, const GatewaySettings &settings, GatewayPlatform platform,
+           HttpClient &client);
 
     GatewayProcess(const GatewayProcess &) = delete;
     GatewayProcess &operator=(const GatewayProcess &) = delete;
@@ -49,7 +52,8 @@
     void stop();
 
 private:
-    GatewayProcess(net::io_context &io, const GatewaySettings &settings, GatewayPlatform platform);
+    GatewayProcess(net::io_context &io, const GatewaySettings &settings, GatewayPlatform platform,
+                   HttpClient &client);
 
     [[nodiscard]] std::optional<ListenError> listen();
     [[nodiscard]] bool isReady() const;
@@ -61,12 +65,16 @@
     void updateState();
     void waitForSignal();
     void chooseReader();
+    void learnFromPeer();
+    void onShared(const std::string &peer, BootTime asked,
+                  const Result<HttpResponse, HttpError> &answer);
     void tick();
     void checkEnd();
 
     net::io_context &io_;
     GatewaySettings settings_;
     GatewayPlatform platform_;
+    HttpClient &client_;
     PeerIdentity self_;
     Metrics metrics_;
     Gateway gateway_;
@@ -80,6 +88,8 @@
     net::steady_timer tickTimer_;
     net::steady_timer endTimer_;
     bool targetsKnown_ = false;
+    bool asksPeer_ = false; // a question to another instance is under way
+    std::string askedPeer_; // the last one that was asked
     std::optional<TimePoint> stopping_;
 };
 
--- a/chestnutvane/process/gateway/load_report.cc
+++ b/chestnutvane/process/gateway/load_report.cc
@@ -42,7 +42,7 @@
     Json identity = Json::array({report.sender.incarnation});
     if (part == IdentityPart::Full) {
         for (const auto &text : {report.sender.id, report.sender.zone, report.sender.callerAddress,
-                                 report.sender.reportAddress})
+                                 report.sender.reportAddress, report.sender.metricsAddress})
             identity.push_back(text);
     }
     const Json list = Json::array(
@@ -65,8 +65,9 @@
         const Json &identity = list.at(1);
         report.sender.incarnation = identity.at(0);
         if (identity.size() > 1)
-            report.sender = {identity.at(1), report.sender.incarnation, identity.at(2),
-                             identity.at(3), identity.at(4)};
+            report.sender = {identity.at(1), report.sender.incarnation,
+                             identity.at(2), identity.at(3),
+                             identity.at(4), identity.at(5)};
         const int state = list.at(2);
         if (state < 0 || state > static_cast<int>(PeerState::Stopping))
             return ReportError{"state " + std::to_string(state)};
--- a/chestnutvane/process/gateway/load_report.h
+++ b/chestnutvane/process/gateway/load_report.h
@@ -48,6 +48,7 @@
     std::string zone;
     std::string callerAddress; // "IP:port" where callers connect
     std::string reportAddress; // "IP:port" for datagrams from other instances
+    std::string metricsAddress; // "IP:port"; also tells other instances what this one has read
 
     friend bool operator==(const PeerIdentity &, const PeerIdentity &) = default;
 };
--- a/chestnutvane/process/gateway/load_report_test.cc
+++ b/chestnutvane/process/gateway/load_report_test.cc
@@ -14,7 +14,7 @@
 LoadReport report(std::string id, std::uint64_t sequence, std::map<std::uint64_t, int> inFlight)
 {
     LoadReport result;
-    result.sender = {std::move(id), 7, "tpe-a", "10.0.0.1:80", "10.0.0.1:7660"};
+    result.sender = {std::move(id), 7, "tpe-a", "10.0.0.1:80", "10.0.0.1:7660", "10.0.0.1:9464"};
     result.state = PeerState::Serving;
     result.sequence = sequence;
     result.revision = 3;
@@ -47,7 +47,7 @@
               full.size());
     const auto received = decodeReport(shorter);
     ASSERT_TRUE(isOk(received));
-    sent.sender = PeerIdentity{.incarnation = sent.sender.incarnation};
+    sent.sender = PeerIdentity{{}, sent.sender.incarnation, {}, {}, {}, {}};
     EXPECT_EQ(value(received), sent);
 }
 
--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -13,13 +13,15 @@
 
 using Json = nlohmann::json;
 
-// The entry of an instance that died is gone after this time. Only an instance that starts, or that
-// hears no other one, goes by the entries; reports tell the others of a death within two seconds.
-constexpr Milliseconds leaseTtl{12'000};
-constexpr Milliseconds leaseRenewal{4000}; // a third: two renewals may fail
-// An instance that starts tells all that it finds in the list, so that later reads only find those
-// whose first reports were lost.
+// The entry of an instance that died is gone after this time, and with a read of the list after
+// instancePeriodAlone callers are not sent there any more after four seconds.
+constexpr Milliseconds leaseTtl{3000};
+constexpr Milliseconds leaseRenewal{1000}; // two renewals may fail
+// An instance that starts tells all that it finds in the list, and reports tell of deaths, so that
+// later reads only find instances whose first reports were lost.
 constexpr Milliseconds instancePeriod{6000};
+// An instance that hears no other one goes by the list.
+constexpr Milliseconds instancePeriodAlone{800};
 // Instances that start together find each other sooner with more frequent reads at first.
 constexpr Milliseconds startPeriod{400};
 constexpr std::chrono::seconds startPhase{6};
@@ -51,7 +53,8 @@
                 {"incarnation", peer.incarnation},
                 {"zone", peer.zone},
                 {"caller-address", peer.callerAddress},
-                {"report-address", peer.reportAddress}}
+                {"report-address", peer.reportAddress},
+                {"metrics-address", peer.metricsAddress}}
             .dump();
 }
 
@@ -59,8 +62,12 @@
 {
     const Json json = Json::parse(text, nullptr, false);
     try {
-        return PeerIdentity{json.at("id"), json.at("incarnation"), json.at("zone"),
-                            json.at("caller-address"), json.at("report-address")};
+        return PeerIdentity{json.at("id"),
+                            json.at("incarnation"),
+                            json.at("zone"),
+                            json.at("caller-address"),
+                            json.at("report-address"),
+                            json.at("metrics-address")};
     } catch (const Json::exception &) {
         return std::nullopt;
     }
@@ -205,18 +212,44 @@
         return retry(loop, error(result));
     const BootTime start = state.readStart;
     succeeded(loop);
+    take(loop, value(result), start);
+    check(loop);
+}
+
+void StoreFeed::take(Loop loop, const WatchResult &list, BootTime start)
+{
     const FeedStatus before = freshness(loop).status(start);
-    const std::uint64_t content =
-            loop == Loop::Operator ? takeOperator(value(result)) : takeTargets(value(result));
+    const std::uint64_t content = loop == Loop::Operator ? takeOperator(list) : takeTargets(list);
     freshness(loop).onOwnRead(start, content);
+    loops_[indexOf(loop)].lastList = list;
     if (content != before.fingerprint)
         events_.onChanged();
-    check(loop);
+}
+
+bool StoreFeed::hasReadAll() const
+{
+    return operatorFreshness_.hasRead() && targetsFreshness_.hasRead();
+}
+
+FeedContent StoreFeed::content() const
+{
+    return {{loops_[indexOf(Loop::Operator)].lastList, operatorStatus().age},
+            {loops_[indexOf(Loop::Targets)].lastList, targetsStatus().age}};
+}
+
+void StoreFeed::takeShared(const FeedContent &content, BootTime asked)
+{
+    for (const Loop loop : {Loop::Operator, Loop::Targets}) {
+        const FeedPart &part = loop == Loop::Operator ? content.operatorKeys : content.targets;
+        if (!freshness(loop).hasRead()) // an own read in the meantime is newer
+            take(loop, part.list, asked - part.age);
+    }
 }
 
 void StoreFeed::onPeer(const FeedStatus &targets, const FeedStatus &operatorKeys)
 {
     const BootTime now = BootClock::now();
+    heardPeer_ = Clock::now();
     targetsFreshness_.onPeer(targets, now);
     operatorFreshness_.onPeer(operatorKeys, now);
     for (const Loop loop : {Loop::Operator, Loop::Targets}) {
@@ -372,7 +405,11 @@
                          }
                          events_.onInstances(std::move(instances));
                          const bool starting = Clock::now() - started_ < startPhase;
-                         after(Loop::Instances, starting ? startPeriod : instancePeriod);
+                         const bool alone = Clock::now() - heardPeer_ > FleetView::aliveLimit;
+                         after(Loop::Instances,
+                               starting        ? startPeriod
+                                       : alone ? instancePeriodAlone
+                                               : instancePeriod);
                      }));
 }
 
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store_feed.h
@@ -23,6 +23,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "chestnutvane/process/gateway/feed_content.h"
 #include "chestnutvane/process/gateway/feed_sharing.h"
 #include "chestnutvane/process/gateway/load_report.h"
 #include "chestnutvane/process/gateway/target_registry.h"
@@ -94,6 +95,17 @@
     [[nodiscard]] FeedStatus targetsStatus() const;
     [[nodiscard]] FeedStatus operatorStatus() const;
 
+    // Both prefixes have been read, or taken from another instance.
+    [[nodiscard]] bool hasReadAll() const;
+    [[nodiscard]] bool isContactLost() const { return contactLost_; }
+
+    // What was read last, for an instance that starts while the store is away.
+    [[nodiscard]] FeedContent content() const;
+
+    // Takes what another instance has read, as the answer to a question of the time given. What was
+    // read by this instance stays.
+    void takeShared(const FeedContent &content, BootTime asked);
+
     // Removes the own entry, so that callers are sent elsewhere.
     void leave();
 
@@ -113,6 +125,7 @@
     [[nodiscard]] bool isDue(Loop loop);
     void check(Loop loop);
     void onList(Loop loop, const Result<WatchResult, StoreError> &result);
+    void take(Loop loop, const WatchResult &list, BootTime start);
     std::uint64_t takeOperator(const WatchResult &result);
     std::uint64_t takeTargets(const WatchResult &result);
     void renewLease();
@@ -130,6 +143,7 @@
         TimePoint callStart;
         BootTime readStart;
         bool busy = false; // a read is running
+        WatchResult lastList;
     };
 
     boost::asio::io_context &io_;
@@ -150,6 +164,7 @@
     bool entryWritten_ = false;
     bool leaving_ = false;
     bool contactLost_ = false;
+    TimePoint heardPeer_; // when another instance was heard last
     TimePoint regained_; // when contact was back
     TimePoint started_;
 };
