Narrow looks at long queues to the requests that an event concerns

Cause: with 100 waiting requests and 234 targets each arrival and each end of an attempt placed the whole queue again, a millisecond each time.

When a look at all would take above 0.1 ms, an event concerns new requests, those that wait for a target that got a free slot or lost a waiting request, and the first eight. The plans of the others stand, and a look at all follows after the pause. Small fleets look at all as before.

Ruled out: reports, which are bounded since.

GatewayTest.AnArrivalAtALongQueueIsLookedAtAlone: before, ten arrivals were ten looks at all.

--- a/chestnutvane/process/gateway/crowded_gateway.h
+++ b/chestnutvane/process/gateway/crowded_gateway.h
@@ -49,16 +49,10 @@
     }
 
     // Another instance reports that it uses all slots.
-    void report()
-    {
-        LoadReport load;
-        load.sender = {"other", 1, "near", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"};
-        load.state = PeerState::Serving;
-        load.sequence = ++sequence_;
-        for (const auto &[hash, target] : gateway.registry().all())
-            load.inFlight[hash] = slots;
-        gateway.fleet().merge(std::move(load), Clock::now());
-    }
+    void report() { reportInFlight(slots); }
+
+    // Another instance reports that it uses none.
+    void release() { reportInFlight(0); }
 
     void ask(int requests)
     {
@@ -88,6 +82,17 @@
     Metrics metrics;
 
 private:
+    void reportInFlight(int inFlight)
+    {
+        LoadReport load;
+        load.sender = {"other", 1, "near", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"};
+        load.state = PeerState::Serving;
+        load.sequence = ++sequence_;
+        for (const auto &[hash, target] : gateway.registry().all())
+            load.inFlight[hash] = inFlight;
+        gateway.fleet().merge(std::move(load), Clock::now());
+    }
+
     GatewaySettings settings_ = [] {
         GatewaySettings settings;
         settings.instanceId = "i1";
--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -151,7 +151,7 @@
         addPeer(sender);
         if (isNew)
             receivers_[sender.id].namesSent = {}; // it does not know this instance's names
-        gateway_.reconsiderAfterReport();
+        gateway_.reconsiderLater();
     }
 }
 
--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -42,7 +42,7 @@
 
 Gateway::Gateway(net::io_context &io, const GatewaySettings &settings, Metrics &metrics)
     : io_(io), settings_(settings), metrics_(metrics), region_(settings.regionOf(settings.zone)),
-      registry_(settings.zoneRegions), reportLookTimer_(io)
+      registry_(settings.zoneRegions), lookTimer_(io)
 { }
 
 void Gateway::handle(Call call)
@@ -76,7 +76,7 @@
     });
     retryWindow(pending->service).onRequest(pending->call.arrival);
     enqueue(pending);
-    pump(pending->service);
+    pump(pending->service, LookScope::Concerned);
 }
 
 Gateway::Pending Gateway::makePending(Call call, const Route &route)
@@ -104,6 +104,7 @@
 {
     Queue &queue = queues_[pending->service];
     const TimePoint now = Clock::now();
+    pending->plannedTarget = 0;
     const auto position =
             std::find_if(queue.begin(), queue.end(), [&pending, now](const Pending &other) {
                 return queueOrder(*other, now) > queueOrder(*pending, now);
@@ -114,6 +115,8 @@
 void Gateway::leaveQueue(const Pending &pending)
 {
     std::erase(queues_[pending->service], pending);
+    if (pending->plannedTarget != 0)
+        freedTargets_[pending->service].insert(pending->plannedTarget);
 }
 
 void Gateway::onGone(const Pending &pending)
@@ -135,7 +138,7 @@
     pending->done = true;
     pending->limitTimer.cancel();
     --pending_;
-    schedulePump(pending->service);
+    schedulePump(pending->service, LookScope::Concerned);
 }
 
 void Gateway::onLimit(const Pending &pending)
@@ -145,7 +148,7 @@
         ++pending->runs;
         ++pending->arrivals;
         release(pending);
-        schedulePump(pending->service);
+        schedulePump(pending->service, LookScope::Concerned);
     } else {
         leaveQueue(pending);
     }
@@ -160,20 +163,20 @@
 {
     for (const auto &[service, queue] : queues_) {
         if (!queue.empty())
-            schedulePump(service);
+            schedulePump(service, LookScope::All);
     }
 }
 
-void Gateway::reconsiderAfterReport()
+void Gateway::reconsiderLater()
 {
-    if (reportLookArranged_)
+    if (lookArranged_)
         return;
-    if (Clock::now() >= nextReportLook_)
+    if (Clock::now() >= nextLook_)
         return reconsider();
-    reportLookArranged_ = true;
-    reportLookTimer_.expires_at(nextReportLook_);
-    reportLookTimer_.async_wait([this](const boost::system::error_code &ended) {
-        reportLookArranged_ = false;
+    lookArranged_ = true;
+    lookTimer_.expires_at(nextLook_);
+    lookTimer_.async_wait([this](const boost::system::error_code &ended) {
+        lookArranged_ = false;
         if (!ended)
             reconsider();
     });
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -66,6 +67,7 @@
     Duration expected{0}; // time to the answer by the last look at the targets
     std::size_t candidates = 0; // targets at that look
     std::size_t queued = 0; // requests of the service that waited then
+    std::uint64_t plannedTarget = 0; // hash of the target it waits for; 0: not looked at yet
     bool waitLogged = false;
     net::steady_timer limitTimer;
     bool done = false;
@@ -80,6 +82,12 @@
     bool avoided = false; // used only if there is no other
 };
 
+// Which waiting requests a look concerns.
+enum class LookScope {
+    Concerned, // by the event that caused it
+    All,
+};
+
 class Gateway
 {
 public:
@@ -99,9 +107,9 @@
     // Looks at all waiting requests again, after news of targets or instances.
     void reconsider();
 
-    // The same after a report of another instance, at once or after a pause: a large fleet sends
-    // several hundred reports a second.
-    void reconsiderAfterReport();
+    // The same, at once or after a pause, for what happens too often for a look each time: a large
+    // fleet sends several hundred reports a second.
+    void reconsiderLater();
 
     // Takes the warm objects of a report.
     void noteWarm(const std::vector<WarmNote> &notes);
@@ -136,8 +144,11 @@
     void onLimit(const Pending &pending);
 
     // Placing (gateway_placing.cc).
-    void schedulePump(const std::string &service);
-    void pump(const std::string &service);
+    void schedulePump(const std::string &service, LookScope scope);
+    // Places what waits for a service. With a long queue only the requests that an event concerns
+    // are looked at: new ones, those that wait for a target of freedTargets_, and the first of the
+    // queue.
+    void pump(const std::string &service, LookScope scope);
     [[nodiscard]] std::vector<TargetView> viewTargets(const std::string &service, TimePoint now);
     // Fills in the targets that the request may go to and has not tried, and their places in views.
     void fillCandidates(const PendingRequest &pending, const std::vector<TargetView> &views,
@@ -179,10 +190,11 @@
     TargetPool pool_;
     PlacementSettings placement_;
     std::map<std::string, Queue> queues_; // by service, in the order of service
-    std::map<std::string, bool> pumpScheduled_;
-    net::steady_timer reportLookTimer_;
-    bool reportLookArranged_ = false;
-    TimePoint nextReportLook_; // earliest time of a look that only a report causes
+    std::map<std::string, std::optional<LookScope>> scheduled_; // looks to come, by service
+    std::map<std::string, std::set<std::uint64_t>> freedTargets_; // since the last look, by service
+    net::steady_timer lookTimer_;
+    bool lookArranged_ = false;
+    TimePoint nextLook_; // earliest time of the next look by reconsiderLater()
     std::map<std::string, RetryWindow> retryWindows_;
     std::unordered_map<std::uint64_t, SlidingCount> coldSends_; // by target hash
     std::map<std::string, KeptObjects> kept_; // by service
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -142,6 +142,7 @@
 void Gateway::release(const Pending &pending)
 {
     --pending->target->inFlight;
+    freedTargets_[pending->service].insert(pending->target->hash);
     pending->exchange = nullptr;
     changed(nullptr);
 }
@@ -161,7 +162,7 @@
         onAnswer(pending, std::move(*answer), run);
     else
         onFailure(pending, std::get<ExchangeError>(result.outcome), result.reused);
-    schedulePump(pending->service);
+    schedulePump(pending->service, LookScope::Concerned);
 }
 
 void Gateway::onAnswer(const Pending &pending, TargetAnswer answer, Duration run)
@@ -267,7 +268,7 @@
                       {"window-retries", retryWindow(pending->service).retries(now)},
                       {"instances", fleet_.peers().size() + 1}});
             enqueue(pending);
-            return schedulePump(pending->service);
+            return schedulePump(pending->service, LookScope::Concerned);
         }
     }
     if (pending->failedAnswer)
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -22,6 +22,9 @@
 // Weight of the rank among targets that hold the object, against those that do not.
 constexpr double warmRankWeight = 0.1;
 
+// Requests at the front of a long queue that each look concerns.
+constexpr std::size_t firstLookedAt = 8;
+
 bool isHome(const Route &route, const std::string &region)
 {
     return route.homeRegions.empty()
@@ -47,18 +50,23 @@
 
 } // namespace
 
-void Gateway::schedulePump(const std::string &service)
+void Gateway::schedulePump(const std::string &service, LookScope scope)
 {
-    if (std::exchange(pumpScheduled_[service], true))
+    auto &scheduled = scheduled_[service];
+    const bool isNew = !scheduled;
+    if (isNew || scope == LookScope::All)
+        scheduled = scope;
+    if (!isNew)
         return;
     net::post(io_, [this, service] {
-        pumpScheduled_[service] = false;
-        pump(service);
+        const auto due = std::exchange(scheduled_[service], std::nullopt);
+        pump(service, due.value_or(LookScope::All));
     });
 }
 
-void Gateway::pump(const std::string &service)
+void Gateway::pump(const std::string &service, LookScope scope)
 {
+    const auto freed = std::exchange(freedTargets_[service], {});
     Queue &queue = queues_[service];
     if (queue.empty())
         return;
@@ -71,11 +79,24 @@
         return pending->aimAt - now > work.warm + callerPath;
     });
     const Queue waiting = queue;
-    metrics_.increment("vane_gateway_looks_total", {{"service", service}});
-    nextReportLook_ = now + pauseAfterLook(waiting.size(), views.size());
+    const bool all = scope == LookScope::All || isShortLook(waiting.size(), views.size());
+    if (all) {
+        metrics_.increment("vane_gateway_looks_total", {{"service", service}});
+        nextLook_ = now + pauseAfterLook(waiting.size(), views.size());
+    }
+    std::unordered_map<std::uint64_t, std::size_t> places; // in views, by target hash
+    for (std::size_t i = 0; i < views.size() && !all; ++i)
+        places[views[i].target->hash] = i;
     std::vector<Candidate> candidates;
     std::vector<std::size_t> indices; // in views, for each candidate
-    for (const Pending &pending : waiting) {
+    for (std::size_t position = 0; position < waiting.size(); ++position) {
+        const Pending &pending = waiting[position];
+        const auto planned = places.find(pending->plannedTarget);
+        if (!all && position >= firstLookedAt && planned != places.end()
+            && !freed.contains(pending->plannedTarget)) {
+            views[planned->second].shared.ahead += 1; // its plan stands
+            continue;
+        }
         fillCandidates(*pending, views, candidates, indices);
         TimePoint limit = pending->limitAt;
         if (end_)
@@ -90,9 +111,10 @@
         pending->candidates = candidates.size();
         pending->queued = waiting.size();
         if (placement.action == PlacementAction::Wait) {
-            TargetView &planned = views[indices[placement.index]];
-            planned.shared.ahead += 1;
-            logWait(*pending, *planned.target, candidates[placement.index]);
+            TargetView &chosen = views[indices[placement.index]];
+            chosen.shared.ahead += 1;
+            pending->plannedTarget = chosen.target->hash;
+            logWait(*pending, *chosen.target, candidates[placement.index]);
             continue;
         }
         leaveQueue(pending);
@@ -106,6 +128,8 @@
         chosen.shared.unused = takesIntoUse(*chosen.target, now);
         chosen.shared.mayTake = mayTake(service, *chosen.target, now);
     }
+    if (!all)
+        reconsiderLater(); // what was passed over is looked at before long
 }
 
 std::vector<TargetView> Gateway::viewTargets(const std::string &service, TimePoint now)
--- a/chestnutvane/process/gateway/gateway_test.cc
+++ b/chestnutvane/process/gateway/gateway_test.cc
@@ -22,7 +22,7 @@
     const TimePoint begin = Clock::now();
     constexpr int reports = 2000;
     for (int i = 0; i < reports; ++i) {
-        crowded.gateway.reconsiderAfterReport();
+        crowded.gateway.reconsiderLater();
         crowded.io.restart();
         crowded.io.poll();
     }
@@ -37,12 +37,55 @@
     CrowdedGateway crowded(234);
     crowded.ask(30);
     crowded.io.poll();
-    crowded.gateway.reconsiderAfterReport();
+    crowded.gateway.reconsiderLater();
     const double before = crowded.looks();
-    crowded.gateway.reconsiderAfterReport();
+    crowded.gateway.reconsiderLater();
     crowded.io.restart();
-    crowded.io.run_for(std::chrono::seconds(1));
-    EXPECT_GT(crowded.looks(), before);
+    while (crowded.looks() <= before)
+        ASSERT_GT(crowded.io.run_one(), 0U);
+}
+
+// Guards against an instance that places its whole queue again for each arrival: with 100 waiting
+// requests and 234 targets each event took a millisecond, more than the smallest instance has.
+TEST(GatewayTest, AnArrivalAtALongQueueIsLookedAtAlone)
+{
+    CrowdedGateway crowded(234);
+    crowded.ask(100);
+    crowded.io.poll();
+    const double before = crowded.looks();
+    const TimePoint begin = Clock::now();
+    for (int i = 0; i < 10; ++i) {
+        crowded.ask(1);
+        crowded.io.restart();
+        crowded.io.poll();
+    }
+    EXPECT_EQ(crowded.gateway.pendingRequests(), 110U);
+    const auto pauses = (Clock::now() - begin) / pauseAfterLook(100, 234);
+    EXPECT_LE(crowded.looks() - before, 1 + static_cast<double>(pauses));
+    // The requests that were passed over are looked at again.
+    crowded.io.restart();
+    while (crowded.looks() <= before)
+        ASSERT_GT(crowded.io.run_one(), 0U);
+}
+
+// Guards against a long queue that hides a free target from the request that comes last.
+TEST(GatewayTest, AFreeTargetTakesTheLastRequestOfALongQueue)
+{
+    CrowdedGateway crowded(234);
+    crowded.ask(100);
+    crowded.io.poll();
+    // The other instance reports that all targets are free again.
+    crowded.release();
+    crowded.ask(1);
+    const auto sends = [&](const char *region) {
+        return crowded.metrics.value(
+                "vane_gateway_sends_total",
+                {{"service", CrowdedGateway::service}, {"region", region}, {"warm", "no"}});
+    };
+    EXPECT_GE(sends("here") + sends("there"), 9); // the first ones and the last
+    crowded.io.restart();
+    while (sends("here") + sends("there") < 101)
+        ASSERT_GT(crowded.io.run_one(), 0U);
 }
 
 // Guards against a pause that callers of a small fleet would notice.
--- a/chestnutvane/process/gateway/placement.cc
+++ b/chestnutvane/process/gateway/placement.cc
@@ -8,6 +8,9 @@
 
 using Seconds = std::chrono::duration<double>;
 
+// Processor time of rating one target for one request (gateway_benchmark).
+constexpr std::chrono::nanoseconds ratingTime{50};
+
 Duration toDuration(Seconds seconds)
 {
     return std::chrono::duration_cast<Duration>(seconds);
@@ -43,10 +46,15 @@
 
 } // namespace
 
+bool isShortLook(std::size_t waiting, std::size_t targets)
+{
+    // A few such looks for each request are a hundredth of the usual run time of a target.
+    constexpr std::chrono::microseconds shortLook{100};
+    return ratingTime * static_cast<std::int64_t>(waiting * targets) <= shortLook;
+}
+
 Duration pauseAfterLook(std::size_t waiting, std::size_t targets)
 {
-    // Processor time of rating one target for one request (gateway_benchmark).
-    constexpr std::chrono::nanoseconds ratingTime{50};
     // Looks after reports use at most a fiftieth of a core; the smallest instance has a tenth.
     constexpr int share = 50;
     return ratingTime * share * static_cast<std::int64_t>(waiting * targets);
--- a/chestnutvane/process/gateway/placement.h
+++ b/chestnutvane/process/gateway/placement.h
@@ -98,6 +98,9 @@
 // report of another instance causes, so that such looks use a bounded share of a core.
 Duration pauseAfterLook(std::size_t waiting, std::size_t targets);
 
+// Whether a look at all waiting requests takes so little time that it need not be narrowed down.
+bool isShortLook(std::size_t waiting, std::size_t targets);
+
 // Returns the time until the answer if the request were given to the candidate now.
 Duration expectedAnswer(const Candidate &candidate, const WorkEstimate &work);
 
