Read the store once for each region again, and trust no age that grows young

Cause: let one instance read for all regions. Instances pass on what they hear with its age, without the time on the way, so over 55 ms of path content looked fresher with each pass: on store-cut, nobody read the targets from second 8.1 to 11.8, and requests went to a target 2.5 to 2.7 s after it had left.

One reader a region is back. The same fault is there within a region, only smaller, so what is heard now counts as 30 ms older than it says, and nothing that waited in the socket during a stall counts at all.

Ruled out: the store (reached by five of eight instances all the time); the narrowed looks (a target that has left is in no view).

--- a/chestnutvane/process/gateway/feed_sharing.cc
+++ b/chestnutvane/process/gateway/feed_sharing.cc
@@ -18,7 +18,7 @@
 {
     if (status.fingerprint == 0)
         return;
-    const BootTime readAt = now - status.age;
+    const BootTime readAt = now - status.age - reportTransit;
     if (readAt <= confirmedAt_)
         return;
     if (status.fingerprint == fingerprint_) {
@@ -40,11 +40,18 @@
     return freshness.isOutdated() || now - freshness.confirmedAt() >= limit;
 }
 
-bool isOneReaderEnough(Milliseconds reportPeriod)
+void StallGuard::onTick(BootTime now)
 {
-    // Time of a read and of a report on their way between regions.
-    constexpr Milliseconds paths{200};
-    return readerPeriod + reportPeriod + paths < confirmationLimit;
+    // Time for the datagrams that waited to be taken from the buffer.
+    constexpr Milliseconds emptying{200};
+    if (now - lastTick_ > stallLimit)
+        distrustUntil_ = now + emptying;
+    lastTick_ = now;
+}
+
+bool StallGuard::mayBeOld(BootTime now) const
+{
+    return now < distrustUntil_ || now - lastTick_ > stallLimit;
 }
 
 bool isReader(const std::string &self, const std::vector<ReaderCandidate> &others)
--- a/chestnutvane/process/gateway/feed_sharing.h
+++ b/chestnutvane/process/gateway/feed_sharing.h
@@ -1,8 +1,8 @@
 // Decides when an instance reads the platform's store itself, and when the word of another one will
 // do.
 //
-// Answers the price of calls that grows with the fleet: in each region, or in a small fleet only
-// once, an instance reads often and tells the others a fingerprint of what it read and how long
+// Answers the price of calls that grows with the fleet: in each region one instance reads often and
+// tells the others a fingerprint of what it read and how long
 // ago. An instance whose own state has that fingerprint knows that it is as fresh; one with another
 // fingerprint reads once. An instance that gets no word in time reads by itself, so the death, a
 // pause or a cut of the reader delays news by the confirmation limit at most.
@@ -37,13 +37,18 @@
     friend bool operator==(const FeedStatus &, const FeedStatus &) = default;
 };
 
+// The longest time on the way of a report within a region, with the wait for the receiver.
+inline constexpr Milliseconds reportTransit{30};
+
 class FeedFreshness
 {
 public:
     // Notes a read of this instance that was started at the time given.
     void onOwnRead(BootTime start, std::uint64_t fingerprint);
 
-    // Takes the status of another instance.
+    // Takes the status of another instance of the region, which is taken to be reportTransit older
+    // than it says. Instances pass on what they heard; without that, each pass would make it look
+    // fresher by the time on the way.
     void onPeer(const FeedStatus &status, BootTime now);
 
     // What to tell the others.
@@ -77,19 +82,33 @@
 // Whether to read now.
 bool isReadDue(const FeedFreshness &freshness, bool isReader, BootTime now);
 
-// Whether one reader will do for all regions: what it reads is heard there, within the period of
-// the reports that cross regions, before the instances would read by themselves.
-bool isOneReaderEnough(Milliseconds reportPeriod);
+// Tells when datagrams may have waited in the socket's buffer for longer than reportTransit,
+// because the process was suspended or stalled. The ages in them are then too low.
+class StallGuard
+{
+public:
+    // Notes that the process runs. Call it several times within stallLimit.
+    void onTick(BootTime now);
+
+    [[nodiscard]] bool mayBeOld(BootTime now) const;
+
+private:
+    BootTime lastTick_;
+    BootTime distrustUntil_;
+};
+
+// A longer gap between two ticks is a stall.
+inline constexpr Milliseconds stallLimit{400};
 
-// Another instance as a possible reader.
+// Another instance of the own region, as a possible reader.
 struct ReaderCandidate
 {
     std::string id;
     Milliseconds age{0}; // of what it knows
 };
 
-// Whether the instance is the one that reads: the first by a hash of the id among those whose
-// knowledge is fresh.
+// Whether the instance is the one that reads for its region: the first by a hash of the id among
+// those whose knowledge is fresh.
 bool isReader(const std::string &self, const std::vector<ReaderCandidate> &others);
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -142,7 +142,8 @@
                  {{"instance", load.sender.id},
                   {"state", enumName(peerStateNames, load.state)},
                   {"new", isNew ? 1 : 0}});
-    if (takeFeed_)
+    if (takeFeed_ && settings_.regionOf(load.sender.zone) == settings_.regionOf(self_.zone)
+        && !stall_.mayBeOld(BootClock::now()))
         takeFeed_(load);
     const PeerIdentity sender = load.sender;
     const auto warm = load.warm;
@@ -215,18 +216,22 @@
 
 void FleetLink::sendNews()
 {
-    for (auto &[id, receiver] : receivers_)
-        sendTo(receiver);
+    for (auto &[id, receiver] : receivers_) {
+        if (receiver.ownRegion)
+            sendTo(receiver);
+    }
 }
 
 void FleetLink::setState(PeerState state)
 {
     state_ = state;
-    sendNews();
+    for (auto &[id, receiver] : receivers_)
+        sendTo(receiver);
 }
 
 void FleetLink::tick()
 {
+    stall_.onTick(BootClock::now());
     const TimePoint now = Clock::now();
     const ReportPace current = pace();
     for (auto &[id, receiver] : receivers_) {
--- a/chestnutvane/process/gateway/fleet_link.h
+++ b/chestnutvane/process/gateway/fleet_link.h
@@ -77,12 +77,9 @@
         takeFeed_ = std::move(take);
     }
 
-    // Sends a report to all other instances, because what this one knows of the store has changed.
+    // Sends a report to the own region, because what this instance knows of the store has changed.
     void sendNews();
 
-    // How often this instance sends reports now.
-    [[nodiscard]] ReportPace pace() const;
-
     // Tells all other instances of a new state at once.
     void setState(PeerState state);
     [[nodiscard]] PeerState state() const { return state_; }
@@ -108,6 +105,7 @@
     void sendTo(Receiver &receiver);
     void tick();
     void arrangeSoon();
+    [[nodiscard]] ReportPace pace() const;
 
     PeerIdentity self_;
     const GatewaySettings &settings_;
@@ -116,6 +114,7 @@
     net::steady_timer tickTimer_;
     net::steady_timer soonTimer_;
     bool soonArranged_ = false;
+    StallGuard stall_;
     std::map<std::string, Receiver> receivers_; // by instance id
     std::map<std::string, PeerIdentity> listed_;
     std::function<void(LoadReport &)> fillFeed_;
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -269,13 +269,10 @@
 {
     std::vector<ReaderCandidate> others;
     const TimePoint now = Clock::now();
-    const bool oneReader = isOneReaderEnough(link_->pace().elsewhere);
     for (const auto &[id, peer] : gateway_.fleet().peers()) {
         const LoadReport &report = peer.report;
-        const bool ownRegion =
-                settings_.regionOf(report.sender.zone) == settings_.regionOf(self_.zone);
-        if ((!ownRegion && !oneReader) || report.state != PeerState::Serving
-            || now - peer.heard > FleetView::aliveLimit)
+        if (settings_.regionOf(report.sender.zone) != settings_.regionOf(self_.zone)
+            || report.state != PeerState::Serving || now - peer.heard > FleetView::aliveLimit)
             continue;
         const auto since = std::chrono::duration_cast<Milliseconds>(now - peer.heard);
         others.push_back({id, report.targetsFeed.age + since});
--- a/chestnutvane/process/log.cc
+++ b/chestnutvane/process/log.cc
@@ -94,6 +94,7 @@
     if (dropped.empty())
         return;
     std::vector<LogField> fields;
+    fields.reserve(dropped.size());
     for (const auto &[event, count] : dropped)
         fields.emplace_back(eventRow(event).name, count);
     writeLine(Event::LinesDropped, fields);
