Keep the pause after a long look through short looks of other services

Each look set the time of the next paced one, so a look at a short queue of one service ended the pause after a look at a long queue of another. Reports then caused looks at the long queue without bound.

--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -82,7 +82,8 @@
     const bool all = scope == LookScope::All || isShortLook(waiting.size(), views.size());
     if (all) {
         metrics_.increment("vane_gateway_looks_total", {{"service", service}});
-        nextLook_ = now + pauseAfterLook(waiting.size(), views.size());
+        // A short look for one service does not end the pause after a long one for another.
+        nextLook_ = std::max(nextLook_, now + pauseAfterLook(waiting.size(), views.size()));
     }
     std::unordered_map<std::uint64_t, std::size_t> places; // in views, by target hash
     for (std::size_t i = 0; i < views.size() && !all; ++i)
--- a/chestnutvane/process/gateway/gateway_test.cc
+++ b/chestnutvane/process/gateway/gateway_test.cc
@@ -88,6 +88,54 @@
         ASSERT_GT(crowded.io.run_one(), 0U);
 }
 
+// Guards against a short queue of one service that ends the pause after a look at the long queue of
+// another, so that the long one is looked at after each report all the same.
+TEST(GatewayTest, AShortQueueDoesNotEndThePauseOfALongOne)
+{
+    constexpr std::size_t targets = 234;
+    CrowdedGateway crowded(targets);
+    const auto &routes = crowded.gateway.routes();
+    Route uploads = routes->routes().front();
+    uploads.name = "uploads";
+    uploads.host = "uploads.example.org";
+    uploads.shares = {{"uploads", 1}};
+    ServiceSpec views;
+    views.name = CrowdedGateway::service;
+    ServiceSpec other;
+    other.name = "uploads";
+    auto table = RouteTable::create(2, {routes->routes().front(), uploads},
+                                    {{views.name, views}, {other.name, other}}, {});
+    ASSERT_TRUE(isOk(table));
+    crowded.gateway.setRoutes(value(table));
+    std::vector<TargetEntry> entries;
+    for (const auto &[hash, target] : crowded.gateway.registry().all())
+        entries.push_back(target->entry);
+    entries.push_back(entries.front());
+    entries.back().id = "upload-target";
+    entries.back().service = "uploads";
+    crowded.gateway.registry().replaceAll(entries, Clock::now(), RemovalPolicy::Immediate);
+    crowded.report();
+    crowded.ask(100);
+    crowded.io.poll();
+    const double before = crowded.looks();
+    const TimePoint begin = Clock::now();
+    for (int i = 0; i < 50; ++i) {
+        auto request = std::make_shared<HttpRequestMessage>(http::verb::get, "/", 11);
+        request->set(http::field::host, uploads.host);
+        Call call;
+        call.request = std::move(request);
+        call.arrival = Clock::now();
+        call.answer = [](const HttpResponseMessage &) {};
+        call.onGone = [](const std::function<void()> &) {};
+        crowded.gateway.handle(std::move(call)); // a short look for the other service
+        crowded.gateway.reconsiderLater(); // a report
+        crowded.io.restart();
+        crowded.io.poll();
+    }
+    const auto pauses = (Clock::now() - begin) / pauseAfterLook(100, targets);
+    EXPECT_LE(crowded.looks() - before, 2 + static_cast<double>(pauses));
+}
+
 // Guards against a pause that callers of a small fleet would notice.
 TEST(GatewayTest, ASmallFleetLooksAtOnce)
 {
--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -20,7 +20,7 @@
 // An instance that starts tells all that it finds in the list, and reports tell of deaths, so that
 // later reads only find instances whose first reports were lost.
 constexpr Milliseconds instancePeriod{6000};
-// An instance that hears no other one goes by the list.
+// An instance that hears no other one of its region may have to go by the list.
 constexpr Milliseconds instancePeriodAlone{800};
 // Instances that start together find each other sooner with more frequent reads at first.
 constexpr Milliseconds startPeriod{400};
