End the attempts of a test before its gateway

Cause: AFreeTargetTakesTheLastRequestOfALongQueue ended with open attempts. The test now goes on until all 101 callers have an answer.

The cycle is ended by each end of an attempt; only a process that stops with attempts under way leaves it behind.

--- a/chestnutvane/process/gateway/gateway_test.cc
+++ b/chestnutvane/process/gateway/gateway_test.cc
@@ -86,6 +86,9 @@
     crowded.io.restart();
     while (sends("here") + sends("there") < 101)
         ASSERT_GT(crowded.io.run_one(), 0U);
+    // Nobody listens at the targets, so each caller gets a refusal after some attempts.
+    while (crowded.answered < 101)
+        ASSERT_GT(crowded.io.run_one(), 0U);
 }
 
 // Guards against a short queue of one service that ends the pause after a look at the long queue of
