Handle pipelined safe requests at the same time

Cause: a connection handed on one request at a time, so each pipelined view waited for the whole run of the one before it, up to its deadline.

A planned stop answers all that are worked on before the connection ends.

Ruled out: placing (the requests reached no decision); the store.

Tests: PipelinedSafeRequestsAreWorkedOnAtTheSameTime, one call of three before. ACallerThatLeavesIsNoticedBehindAPipelinedRequest asked for one notice, as the second request was not at work; it now asks for one for each of the two.

--- a/chestnutvane/connection/caller_connection.h
+++ b/chestnutvane/connection/caller_connection.h
@@ -1,7 +1,7 @@
-// One connection of a caller: reads HTTP/1.1 requests and writes their answers in order.
+// Accepts the connections of callers: reads HTTP/1.1 requests and writes their answers in order.
 //
-// A connection keeps reading while a request is worked on, so that it learns of a caller that goes
-// away, also behind pipelined requests. Requests are handled one at a time.
+// A connection keeps reading while requests are worked on, so that it learns of a caller that goes
+// away. Pipelined requests with safe methods are handled at the same time (call_pipeline.h).
 //
 // Example:
 //
@@ -64,7 +64,8 @@
 
     virtual ~CallerListener() = default;
 
-    // From now on each answer closes its connection, and idle connections are closed.
+    // From now on the answer to the last request that is worked on closes its connection, and idle
+    // connections are closed.
     virtual void startClosing() = 0;
 
     // Stops to accept connections.
--- a/chestnutvane/connection/caller_connection_test.cc
+++ b/chestnutvane/connection/caller_connection_test.cc
@@ -110,19 +110,89 @@
     EXPECT_NE(client.readUntil("]").find("[/next]"), std::string::npos);
 }
 
+// Guards against a slow request that delays the work of those behind it on its connection.
+TEST_F(CallerConnectionTest, PipelinedSafeRequestsAreWorkedOnAtTheSameTime)
+{
+    delay_ = 300ms;
+    start();
+    RawClient client(port_);
+    client.send(get("/1") + get("/2") + get("/3"));
+    for (int i = 0; i < 250 && calls_ < 3; ++i)
+        std::this_thread::sleep_for(1ms);
+    EXPECT_EQ(calls_, 3); // before the first answer
+    for (const char *path : {"[/1]", "[/2]", "[/3]"})
+        EXPECT_NE(client.readUntil("]").find(path), std::string::npos);
+}
+
+// Guards against an effect that takes place before that of an earlier request of its connection.
+TEST_F(CallerConnectionTest, AnUnsafeRequestWaitsForThoseBeforeIt)
+{
+    delay_ = 200ms;
+    start();
+    RawClient client(port_);
+    client.send(get("/1") + "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab"
+                + get("/3"));
+    while (calls_ == 0)
+        std::this_thread::sleep_for(1ms);
+    std::this_thread::sleep_for(50ms);
+    EXPECT_EQ(calls_, 1);
+    EXPECT_NE(client.readUntil("]").find("[/1]"), std::string::npos);
+    std::this_thread::sleep_for(50ms);
+    EXPECT_EQ(calls_, 2);
+    EXPECT_NE(client.readUntil("]").find("[/2ab]"), std::string::npos);
+    EXPECT_NE(client.readUntil("]").find("[/3]"), std::string::npos);
+}
+
+// Guards against a stop that cuts requests which were passed on behind another one.
+TEST_F(CallerConnectionTest, ClosingAnswersAllPipelinedRequestsThatAreWorkedOn)
+{
+    delay_ = 200ms;
+    start();
+    RawClient client(port_);
+    client.send(get("/1") + get("/2"));
+    while (calls_ < 2)
+        std::this_thread::sleep_for(1ms);
+    net::post(io_, [this] { listener_->startClosing(); });
+    const std::string first = client.readUntil("]");
+    EXPECT_EQ(first.find("Connection: close"), std::string::npos) << first;
+    const std::string last = client.readUntil("]");
+    EXPECT_NE(last.find("Connection: close"), std::string::npos) << last;
+    EXPECT_NE(last.find("[/2]"), std::string::npos) << last;
+    EXPECT_TRUE(client.waitForClose());
+}
+
 // Guards against work that goes on after its caller has left, also one that pipelines.
-TEST_F(CallerConnectionTest, ACallerThatLeavesIsNoticedBehindAPipelinedRequest)
+TEST_F(CallerConnectionTest, ACallerThatLeavesIsNoticedBehindPipelinedRequests)
 {
     delay_ = 2s;
     start();
     RawClient client(port_);
     client.send(get("/1") + get("/2"));
-    while (calls_ == 0)
+    while (calls_ < 2)
         std::this_thread::sleep_for(1ms);
     client.close();
-    for (int i = 0; i < 450 && gone_ == 0; ++i)
+    for (int i = 0; i < 450 && gone_ < 2; ++i)
         std::this_thread::sleep_for(1ms);
-    EXPECT_EQ(gone_, 1);
+    EXPECT_EQ(gone_, 2);
+}
+
+// Guards against a refusal, or an interim answer, that overtakes the answer to an earlier request.
+TEST_F(CallerConnectionTest, OwnAnswersWaitForThoseBeforeThem)
+{
+    delay_ = 100ms;
+    start();
+    RawClient client(port_);
+    client.send(get("/1")
+                + "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nExpect: 100-continue\r\n"
+                  "\r\n");
+    const std::string first = client.readUntil("]");
+    EXPECT_EQ(first.find(" 100 "), std::string::npos) << first;
+    EXPECT_NE(client.readUntil("\r\n\r\n").find(" 100 "), std::string::npos);
+    client.send("ab" + get("/3") + "no request at all\r\n\r\n");
+    EXPECT_NE(client.readUntil("]").find("[/2ab]"), std::string::npos);
+    EXPECT_NE(client.readUntil("]").find("[/3]"), std::string::npos);
+    EXPECT_NE(client.readUntil("\r\n\r\n").find(" 400 "), std::string::npos);
+    EXPECT_TRUE(client.waitForClose());
 }
 
 // Guards against limits that are not kept, and against a request that is refused without a reason.
