Keep what was learned of targets in the store

Cause: which target holds which object, and how long runs take, was only known to processes. An instance that is restarted alone lost the same.

The reader of each region writes both each 3 s under a key of the region, and an instance that starts reads it once. Targets that have started again are left out; what the instance learned itself stays; who has not read writes nothing.

Ruled out: asking another instance, as none is left after a loss of power; the reports, which tell of an object once.

--- a/chestnutvane/process/events.h
+++ b/chestnutvane/process/events.h
@@ -68,6 +68,8 @@
     SettingsReread = 613,
     ReportIgnored = 620,
     ChangeApplied = 621,
+    LearnedTaken = 622,
+    LearnedFailed = 623,
 };
 
 struct EventRow
@@ -157,6 +159,10 @@
          "A datagram is no load report that can be read."},
         {Event::ChangeApplied, LogLevel::Info, "change-applied",
          "What another instance read of the store was taken; the fields give its age."},
+        {Event::LearnedTaken, LogLevel::Info, "learned-taken",
+         "An instance that started took what was learned before of targets and run times."},
+        {Event::LearnedFailed, LogLevel::Warning, "learned-failed",
+         "What was learned of targets and run times cannot be read or kept."},
 };
 
 // Tells whether lines of the event tell of requests that go well. Such lines are dropped first when
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -29,6 +29,7 @@
 #include "chestnutvane/connection/caller_connection.h"
 #include "chestnutvane/connection/target_exchange.h"
 #include "chestnutvane/process/gateway/gateway_settings.h"
+#include "chestnutvane/process/gateway/learned_state.h"
 #include "chestnutvane/process/gateway/load_report.h"
 #include "chestnutvane/process/gateway/placement.h"
 #include "chestnutvane/process/gateway/send_limits.h"
@@ -114,6 +115,13 @@
     // Takes the warm objects of a report.
     void noteWarm(const std::vector<WarmNote> &notes);
 
+    // What this instance has learned of the targets of its region, and of run times.
+    [[nodiscard]] LearnedState learned() const;
+
+    // Starts from what instances learned before. What this one has learned itself stays; targets
+    // that have started again since are left out.
+    void takeLearned(const LearnedState &state);
+
     // Fills in the figures of a report: attempts in flight and waiting requests.
     void fillReport(LoadReport &report) const;
 
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -45,6 +45,9 @@
     : io_(io), settings_(settings), platform_(std::move(platform)), client_(client),
       self_(identityOf(settings_)), gateway_(io, settings_, metrics_),
       feed_(io, platform_.store, platform_.format, self_, feedEvents()),
+      learnedKeeper_(io, platform_.store,
+                     platform_.format.learnedPrefix + settings_.regionOf(settings_.zone),
+                     learnedSource()),
       signals_(io, SIGTERM, SIGINT, SIGHUP), tickTimer_(io), endTimer_(io)
 { }
 
@@ -57,6 +60,7 @@
     if (auto failure = process->listen())
         return *failure;
     process->feed_.start();
+    process->learnedKeeper_.start();
     process->waitForSignal();
     process->tick();
     logEvent(Event::Started,
@@ -134,6 +138,7 @@
             logEvent(Event::TargetChanged,
                      {{"target", id}, {"what", enumName(targetNewsNames, news)}});
         targetsKnown_ = targetsKnown_ || gateway_.registry().size() > 0;
+        takeLearned();
         updateState();
         gateway_.reconsider();
     };
@@ -147,6 +152,24 @@
     return events;
 }
 
+LearnedSource GatewayProcess::learnedSource()
+{
+    return {[this] { return gateway_.learned(); },
+            [this](const LearnedState &state) {
+                learnedBefore_ = state;
+                takeLearned();
+            },
+            [this] { return isReady() && feed_.isReader(); }};
+}
+
+void GatewayProcess::takeLearned()
+{
+    if (!targetsKnown_ || !learnedBefore_)
+        return;
+    gateway_.takeLearned(*learnedBefore_);
+    learnedBefore_.reset();
+}
+
 bool GatewayProcess::isReady() const
 {
     return !stopping_ && gateway_.routes() && targetsKnown_;
--- a/chestnutvane/process/gateway/gateway_process.h
+++ b/chestnutvane/process/gateway/gateway_process.h
@@ -21,6 +21,7 @@
 #include "chestnutvane/process/gateway/directory.h"
 #include "chestnutvane/process/gateway/fleet_link.h"
 #include "chestnutvane/process/gateway/gateway.h"
+#include "chestnutvane/process/gateway/learned_keeper.h"
 #include "chestnutvane/process/gateway/store_feed.h"
 
 namespace chestnutvane {
@@ -64,6 +65,8 @@
     [[nodiscard]] FeedEvents feedEvents();
     void updateState();
     void waitForSignal();
+    [[nodiscard]] LearnedSource learnedSource();
+    void takeLearned();
     void chooseReader();
     void learnFromPeer();
     void onShared(const std::string &peer, BootTime asked,
@@ -79,6 +82,8 @@
     Metrics metrics_;
     Gateway gateway_;
     StoreFeed feed_;
+    LearnedKeeper learnedKeeper_;
+    std::optional<LearnedState> learnedBefore_; // until the targets are known
     std::unique_ptr<FleetLink> link_;
     std::shared_ptr<CallerListener> callers_;
     std::shared_ptr<CallerListener> readiness_;
--- /dev/null
+++ b/chestnutvane/process/gateway/learned_keeper.h
@@ -0,0 +1,67 @@
+// Keeps what the instances of a region have learned in the store, and hands it to an instance that
+// starts.
+//
+// One instance of the region writes it at a fixed period; the others only read it once. An instance
+// that has not read what is there writes nothing, so that a fleet which starts again does not
+// replace it by the little that it knows.
+//
+// Example:
+//
+//   LearnedKeeper keeper(io, store, key, {learned, taken, isWriter});
+//   keeper.start();
+//
+// Not thread-safe: everything runs on the io_context's one thread; the callbacks of the store may
+// come from any thread.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "chestnutvane/process/gateway/learned_state.h"
+#include "chestnutvane/process/store.h"
+
+namespace chestnutvane {
+
+// What a keeper needs of its instance.
+struct LearnedSource
+{
+    std::function<LearnedState()> learned; // what is to be kept
+    std::function<void(const LearnedState &)> taken; // what was learned before, once
+    std::function<bool()> isWriter; // whether this instance writes for its region
+};
+
+class LearnedKeeper
+{
+public:
+    // Objects move between targets within seconds on a busy day, and on a calm one they stay. At
+    // this period the writes of three regions are one call a second.
+    static constexpr Milliseconds period{3000};
+
+    LearnedKeeper(boost::asio::io_context &io, Store store, std::string key, LearnedSource source);
+
+    void start();
+
+private:
+    void read();
+    void onRead(const Result<WatchResult, StoreError> &result);
+    void arrangeWrite();
+    void write();
+    void writeAfter(std::uint64_t version);
+    void onVersion(const Result<StoreEntry, StoreError> &result);
+    void fail(std::string_view what, std::string_view reason, const std::string &detail);
+
+    boost::asio::io_context &io_;
+    Store store_;
+    std::string key_;
+    LearnedSource source_;
+    boost::asio::steady_timer timer_;
+    Milliseconds readPause_{0};
+    std::optional<std::uint64_t> version_; // of the value in the store, if this instance wrote it
+    bool failing_ = false; // logged once until the next success
+};
+
+} // namespace chestnutvane
--- /dev/null
+++ b/chestnutvane/process/gateway/learned_state.cc
@@ -0,0 +1,67 @@
+#include "chestnutvane/process/gateway/learned_state.h"
+
+#include <nlohmann/json.hpp>
+
+namespace chestnutvane {
+namespace {
+
+using Json = nlohmann::json;
+
+// Raised with each change that older instances cannot read.
+constexpr int formatVersion = 1;
+
+Json encodeMean(const RunMean &mean)
+{
+    return Json::array({mean.seconds, mean.runs});
+}
+
+// Throws Json::exception.
+RunMean decodeMean(const Json &json)
+{
+    return {json.at(0).get<double>(), json.at(1).get<int>()};
+}
+
+} // namespace
+
+std::string encodeLearnedState(const LearnedState &state)
+{
+    Json routes = Json::array();
+    for (const auto &[name, runs] : state.times.routes)
+        routes.push_back(Json::array({name, encodeMean(runs.warm), encodeMean(runs.cold)}));
+    Json services = Json::array();
+    for (const auto &[name, mean] : state.times.services)
+        services.push_back(Json::array({name, encodeMean(mean)}));
+    Json kept = Json::array();
+    for (const auto &[name, count] : state.keptObjects)
+        kept.push_back(Json::array({name, count}));
+    Json targets = Json::array();
+    for (const LearnedTarget &target : state.targets)
+        targets.push_back(Json::array({target.target, target.startedAt, target.objects}));
+    std::string bytes;
+    Json::to_cbor(Json::array({formatVersion, routes, services, kept, targets}), bytes);
+    return bytes;
+}
+
+Result<LearnedState, LearnedStateError> decodeLearnedState(std::string_view bytes)
+{
+    try {
+        const Json list = Json::from_cbor(bytes.begin(), bytes.end());
+        if (list.at(0).get<int>() != formatVersion)
+            return LearnedStateError{"format version " + list.at(0).dump()};
+        LearnedState state;
+        for (const Json &item : list.at(1))
+            state.times.routes[item.at(0)] = {decodeMean(item.at(1)), decodeMean(item.at(2))};
+        for (const Json &item : list.at(2))
+            state.times.services[item.at(0)] = decodeMean(item.at(1));
+        for (const Json &item : list.at(3))
+            state.keptObjects[item.at(0)] = item.at(1).get<std::size_t>();
+        for (const Json &item : list.at(4))
+            state.targets.push_back(
+                    {item.at(0), item.at(1), item.at(2).get<std::vector<std::uint64_t>>()});
+        return state;
+    } catch (const Json::exception &failure) {
+        return LearnedStateError{failure.what()};
+    }
+}
+
+} // namespace chestnutvane
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store_feed.h
@@ -63,6 +63,7 @@
     std::string evacuationPrefix; // followed by a zone
     std::string targetPrefix; // followed by the id of a target
     std::string instancePrefix; // of the entries of instances, written by them
+    std::string learnedPrefix; // of what the instances of a region have learned; a region follows
     std::function<Result<std::shared_ptr<const RouteTable>, FeedError>(std::string_view)>
             decodeRoutes;
     std::function<Result<TargetEntry, FeedError>(std::string id, std::string_view)> decodeTarget;
--- a/chestnutvane/process/gateway/target_registry.cc
+++ b/chestnutvane/process/gateway/target_registry.cc
@@ -1,5 +1,6 @@
 #include "chestnutvane/process/gateway/target_registry.h"
 
+#include <iterator>
 #include <utility>
 
 #include "chestnutvane/base/hash.h"
@@ -46,6 +47,14 @@
     }
 }
 
+void WarmObjects::addOldest(std::uint64_t object, std::size_t capacity)
+{
+    if (order_.size() >= capacity || index_.contains(object))
+        return;
+    order_.push_back(object);
+    index_[object] = std::prev(order_.end());
+}
+
 std::optional<std::size_t> WarmObjects::depth(std::uint64_t object) const
 {
     const auto found = index_.find(object);
--- a/chestnutvane/process/gateway/target_registry.h
+++ b/chestnutvane/process/gateway/target_registry.h
@@ -58,6 +58,13 @@
     void touch(std::uint64_t object, std::size_t capacity);
     void forget(std::uint64_t object);
     void clear();
+
+    // Marks an object as older than all that are there. Ignored at the capacity, and for an object
+    // that is there.
+    void addOldest(std::uint64_t object, std::size_t capacity);
+
+    // The objects, the latest first.
+    [[nodiscard]] const std::list<std::uint64_t> &objects() const { return order_; }
     [[nodiscard]] bool contains(std::uint64_t object) const { return index_.contains(object); }
 
     // How many other objects were touched after it; nothing for an object that is not there. Takes
--- a/chestnutvane/process/gateway/work_times.cc
+++ b/chestnutvane/process/gateway/work_times.cc
@@ -14,7 +14,7 @@
 
 } // namespace
 
-void WorkTimes::Mean::add(double sample)
+void RunMean::add(double sample)
 {
     ++runs;
     const double weight = std::max(newRunWeight, 1.0 / runs);
@@ -47,9 +47,15 @@
 void WorkTimes::learn(const std::string &route, const std::string &service, bool warm, Duration run)
 {
     const double seconds = Seconds(run).count();
-    auto &times = routes_[route];
+    auto &times = times_.routes[route];
     (warm ? times.warm : times.cold).add(seconds);
-    services_[service].add(seconds);
+    times_.services[service].add(seconds);
+}
+
+void WorkTimes::assume(const RunTimes &times)
+{
+    times_.routes.insert(times.routes.begin(), times.routes.end());
+    times_.services.insert(times.services.begin(), times.services.end());
 }
 
 WorkEstimate WorkTimes::estimate(const std::string &route, const std::string &service,
@@ -58,7 +64,7 @@
     double cold = Seconds(aim).count();
     double warm = cold * assumedWarmShare;
     bool measured = false;
-    if (const auto found = routes_.find(route); found != routes_.end()) {
+    if (const auto found = times_.routes.find(route); found != times_.routes.end()) {
         const auto &times = found->second;
         measured = true;
         if (times.cold.runs > 0)
@@ -68,7 +74,7 @@
         warm = times.warm.runs > 0 ? std::min(times.warm.seconds, cold) : cold * assumedWarmShare;
     }
     double mean = warm;
-    if (const auto found = services_.find(service); found != services_.end())
+    if (const auto found = times_.services.find(service); found != times_.services.end())
         mean = found->second.seconds;
     const auto duration = [](double seconds) {
         return std::chrono::duration_cast<Duration>(Seconds(seconds));
--- a/chestnutvane/process/gateway/work_times.h
+++ b/chestnutvane/process/gateway/work_times.h
@@ -9,6 +9,7 @@
 // Not thread-safe.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <string>
@@ -34,6 +35,9 @@
     // Objects that a target keeps, by what is known.
     [[nodiscard]] std::size_t kept() const { return kept_; }
 
+    // Starts from what an instance learned before.
+    void assume(std::size_t kept) { kept_ = std::clamp(kept, bucketObjects, most); }
+
 private:
     static constexpr std::size_t bucketObjects = 4;
     struct Bucket
@@ -45,6 +49,34 @@
     std::array<Bucket, most / bucketObjects> buckets_{};
 };
 
+// A moving average of run times.
+struct RunMean
+{
+    double seconds = 0;
+    int runs = 0;
+
+    void add(double sample);
+    friend bool operator==(const RunMean &, const RunMean &) = default;
+};
+
+// The run times of a route on targets that held the object, and on others.
+struct RouteRuns
+{
+    RunMean warm;
+    RunMean cold;
+
+    friend bool operator==(const RouteRuns &, const RouteRuns &) = default;
+};
+
+// All that is known of run times.
+struct RunTimes
+{
+    std::map<std::string, RouteRuns> routes;
+    std::map<std::string, RunMean> services;
+
+    friend bool operator==(const RunTimes &, const RunTimes &) = default;
+};
+
 class WorkTimes
 {
 public:
@@ -58,20 +90,13 @@
     [[nodiscard]] WorkEstimate estimate(const std::string &route, const std::string &service,
                                         Duration aim) const;
 
+    [[nodiscard]] const RunTimes &times() const { return times_; }
+
+    // Starts from run times that were learned before, for routes and services without own runs.
+    void assume(const RunTimes &times);
+
 private:
-    struct Mean
-    {
-        double seconds = 0;
-        int runs = 0;
-        void add(double sample);
-    };
-    struct RouteTimes
-    {
-        Mean warm;
-        Mean cold;
-    };
-    std::map<std::string, RouteTimes> routes_;
-    std::map<std::string, Mean> services_;
+    RunTimes times_;
 };
 
 } // namespace chestnutvane
