Let outdated instances ask the reader, and compress what it tells

Cause: most changes of a large fleet did not fit into a report (86 targets are replaced within a second), and one that was lost or came too early made the instance read the list; while targets register one after another all did so without end.

Changes and whole contents are compressed (zlib). An instance that cannot apply a change asks the one that has newer content, and reads the store only if that does not help within 0.4 s. Packed contents are kept while the lists stay the same.

An instance that starts takes what the instances of all regions have learned.

--- a/chestnutvane/process/gateway/feed_change.cc
+++ b/chestnutvane/process/gateway/feed_change.cc
@@ -1,8 +1,18 @@
 #include "chestnutvane/process/gateway/feed_change.h"
 
+#include "chestnutvane/base/deflate.h"
 #include "chestnutvane/base/hash.h"
+#include "chestnutvane/process/gateway/entry_codec.h"
 
 namespace chestnutvane {
+namespace {
+
+using Json = nlohmann::json;
+
+// Many times what fits into maxChangeBytes.
+constexpr std::size_t maxUnpackedBytes = 1U << 20U;
+
+} // namespace
 
 std::uint64_t contentHash(const TargetEntry &entry)
 {
@@ -43,14 +53,33 @@
     return change;
 }
 
-bool isSmall(const FeedChange &change)
+std::string encodeChange(const FeedChange &change)
 {
-    std::size_t bytes = 0;
-    for (const StoreEntry &entry : change.written)
-        bytes += entry.key.size() + entry.value.size();
-    for (const std::string &key : change.removed)
-        bytes += key.size();
-    return bytes <= maxChangeBytes;
+    std::string bytes;
+    Json::to_cbor(Json::array({static_cast<int>(change.prefix), change.from, change.to,
+                               change.version, encodeEntries(change.written), change.removed}),
+                  bytes);
+    return deflateBytes(bytes);
+}
+
+Result<FeedChange, FeedChangeError> decodeChange(std::string_view bytes)
+{
+    const auto unpacked = inflateBytes(bytes, maxUnpackedBytes);
+    if (!unpacked)
+        return FeedChangeError{"not compressed by an instance"};
+    try {
+        const Json json = Json::from_cbor(*unpacked);
+        FeedChange change;
+        change.prefix = json.at(0).get<int>() == 0 ? FeedPrefix::OperatorKeys : FeedPrefix::Targets;
+        change.from = json.at(1);
+        change.to = json.at(2);
+        change.version = json.at(3);
+        change.written = decodeEntries(json.at(4));
+        change.removed = json.at(5).get<std::vector<std::string>>();
+        return change;
+    } catch (const Json::exception &failure) {
+        return FeedChangeError{failure.what()};
+    }
 }
 
 WatchResult applyChange(const WatchResult &list, const FeedChange &change)
--- a/chestnutvane/process/gateway/feed_change.h
+++ b/chestnutvane/process/gateway/feed_change.h
@@ -7,11 +7,10 @@
 //
 // Example:
 //
-//   FeedChange change = changeBetween(before, after, list);
-//   if (isSmall(change))
-//       send(change);
+//   std::string bytes = encodeChange(changeBetween(before, after, list));
 //   ...
-//   list = applyChange(std::move(list), change); // if the own content has the fingerprint `from`
+//   if (auto change = decodeChange(bytes); isOk(change) && value(change).from == own)
+//       list = applyChange(list, value(change));
 //
 // Pure functions without state.
 #pragma once
@@ -20,8 +19,10 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "chestnutvane/base/result.h"
 #include "chestnutvane/process/gateway/target_registry.h"
 #include "chestnutvane/process/store.h"
 
@@ -54,10 +55,15 @@
     friend bool operator==(const FeedChange &, const FeedChange &) = default;
 };
 
-// A change with more bytes of keys and values is not sent: reports of this size to 27 instances of
-// a region take a tenth of a second on a link of 10 Mbit/s, the narrowest of the platform.
+// A change that takes more bytes is not sent with reports: those of this size to 27 instances of a
+// region take a tenth of a second on a link of 10 Mbit/s, the narrowest of the platform.
 inline constexpr std::size_t maxChangeBytes = 4000;
 
+struct FeedChangeError
+{
+    std::string detail;
+};
+
 // Returns the hash of all of an entry but what changes with each heartbeat.
 std::uint64_t contentHash(const TargetEntry &entry);
 
@@ -69,8 +75,11 @@
 FeedChange changeBetween(const FeedContents &before, const FeedContents &after,
                          const WatchResult &list);
 
-// Whether a change may be sent.
-bool isSmall(const FeedChange &change);
+// Encodes a change (CBOR, compressed).
+std::string encodeChange(const FeedChange &change);
+
+// Decodes it. Errors: anything that encodeChange() does not write.
+Result<FeedChange, FeedChangeError> decodeChange(std::string_view bytes);
 
 // Returns the list with the change applied, in the order of the keys.
 WatchResult applyChange(const WatchResult &list, const FeedChange &change);
--- a/chestnutvane/process/gateway/feed_change_test.cc
+++ b/chestnutvane/process/gateway/feed_change_test.cc
@@ -56,14 +56,35 @@
     EXPECT_TRUE(change.removed.empty());
 }
 
-// Guards against reports that fill the link of an instance.
-TEST(FeedChangeTest, ALargeChangeIsNotSent)
+// Guards against a change that reads otherwise than it was written, and against one made up from
+// other bytes.
+TEST(FeedChangeTest, ADecodedChangeEqualsTheEncodedOne)
+{
+    const FeedChange change{
+            FeedPrefix::Targets, 10, 11, 77, {{"t/1", std::string("\xff\x00", 2), 76}}, {"t/2"}};
+    const std::string bytes = encodeChange(change);
+    const auto decoded = decodeChange(bytes);
+    ASSERT_TRUE(isOk(decoded));
+    EXPECT_EQ(value(decoded), change);
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+        EXPECT_FALSE(isOk(decodeChange(bytes.substr(0, length)))) << length;
+}
+
+// Guards against large fleets in which a change of many targets at once does not fit into a report,
+// so that each instance reads the list: 86 targets of 516 were replaced within a second.
+TEST(FeedChangeTest, AChangeOfManyTargetsFitsIntoAReport)
 {
     FeedChange change;
-    change.written.push_back({"b/1", std::string(maxChangeBytes - 3, 'x'), 1});
-    EXPECT_TRUE(isSmall(change));
-    change.removed.emplace_back("b");
-    EXPECT_FALSE(isSmall(change));
+    for (int i = 0; i < 86; ++i) {
+        const std::string id = std::to_string(hash64(std::to_string(i)));
+        change.written.push_back({"t/" + id,
+                                  R"({"service":"matchday","address":"10.4.64.)" + std::to_string(i)
+                                          + R"(:8363","zone":"andina-bog","version":"1","slots":4,)"
+                                          + R"("state":"ready","cold":2.5,"sequence":17,"born":1)"
+                                          + id.substr(0, 9) + "}",
+                                  static_cast<std::uint64_t>(i)});
+    }
+    EXPECT_LE(encodeChange(change).size(), maxChangeBytes);
 }
 
 // Guards against a state of a target that instances do not tell each other of.
--- a/chestnutvane/process/gateway/feed_content.cc
+++ b/chestnutvane/process/gateway/feed_content.cc
@@ -1,6 +1,7 @@
 #include "chestnutvane/process/gateway/feed_content.h"
 
-#include <nlohmann/json.hpp>
+#include "chestnutvane/base/deflate.h"
+#include "chestnutvane/process/gateway/entry_codec.h"
 
 namespace chestnutvane {
 namespace {
@@ -8,36 +9,39 @@
 using Json = nlohmann::json;
 
 // Raised with each change that older instances cannot read.
-constexpr int formatVersion = 1;
+constexpr int formatVersion = 2;
+// Several times the content of the largest store that an instance could hold.
+constexpr std::size_t maxUnpackedBytes = 16U << 20U;
 
-Json encodePart(const FeedPart &part)
+Json encodeList(const WatchResult &list)
 {
-    Json entries = Json::array();
-    for (const StoreEntry &entry : part.list.entries)
-        entries.push_back(Json::array({entry.key, entry.version,
-                                       Json::binary({entry.value.begin(), entry.value.end()})}));
-    return Json::array({part.age.count(), part.list.version, entries});
+    return Json::array({list.version, encodeEntries(list.entries)});
 }
 
-FeedPart decodePart(const Json &json)
+// Throws Json::exception.
+WatchResult decodeList(const Json &json)
 {
-    FeedPart part;
-    part.age = Milliseconds(json.at(0).get<Milliseconds::rep>());
-    part.list.version = json.at(1);
-    for (const Json &item : json.at(2)) {
-        const auto &bytes = item.at(2).get_binary();
-        part.list.entries.push_back({item.at(0), {bytes.begin(), bytes.end()}, item.at(1)});
-    }
-    return part;
+    WatchResult list;
+    list.version = json.at(0);
+    list.entries = decodeEntries(json.at(1));
+    return list;
 }
 
 } // namespace
 
-std::string encodeFeedContent(const FeedContent &content)
+std::string packLists(const WatchResult &operatorKeys, const WatchResult &targets)
+{
+    std::string bytes;
+    Json::to_cbor(Json::array({encodeList(operatorKeys), encodeList(targets)}), bytes);
+    return deflateBytes(bytes);
+}
+
+std::string encodeFeedContent(const std::string &packedLists, Milliseconds operatorAge,
+                              Milliseconds targetsAge)
 {
     std::string bytes;
-    Json::to_cbor(Json::array({formatVersion, encodePart(content.operatorKeys),
-                               encodePart(content.targets)}),
+    Json::to_cbor(Json::array({formatVersion, operatorAge.count(), targetsAge.count(),
+                               Json::binary({packedLists.begin(), packedLists.end()})}),
                   bytes);
     return bytes;
 }
@@ -45,10 +49,18 @@
 Result<FeedContent, FeedContentError> decodeFeedContent(std::string_view bytes)
 {
     try {
-        const Json list = Json::from_cbor(bytes.begin(), bytes.end());
-        if (list.at(0).get<int>() != formatVersion)
-            return FeedContentError{"format version " + list.at(0).dump()};
-        return FeedContent{decodePart(list.at(1)), decodePart(list.at(2))};
+        const Json json = Json::from_cbor(bytes.begin(), bytes.end());
+        if (json.at(0).get<int>() != formatVersion)
+            return FeedContentError{"format version " + json.at(0).dump()};
+        const auto &packed = json.at(3).get_binary();
+        const auto unpacked =
+                inflateBytes(std::string(packed.begin(), packed.end()), maxUnpackedBytes);
+        if (!unpacked)
+            return FeedContentError{"not compressed by an instance"};
+        const Json lists = Json::from_cbor(*unpacked);
+        return FeedContent{
+                {decodeList(lists.at(0)), Milliseconds(json.at(1).get<Milliseconds::rep>())},
+                {decodeList(lists.at(1)), Milliseconds(json.at(2).get<Milliseconds::rep>())}};
     } catch (const Json::exception &failure) {
         return FeedContentError{failure.what()};
     }
--- a/chestnutvane/process/gateway/feed_content.h
+++ b/chestnutvane/process/gateway/feed_content.h
@@ -1,9 +1,10 @@
-// What an instance has read from the store, for another one that starts while the store is away.
+// What an instance has read from the store, for another one that starts while the store is away, or
+// that missed a change.
 //
 // Example:
 //
-//   std::string body = encodeFeedContent(feed.content());
-//   if (auto content = decodeFeedContent(body); isOk(content))
+//   std::string body = encodeFeedContent(packLists(operatorKeys, targets), operatorAge,
+//   targetsAge); if (auto content = decodeFeedContent(body); isOk(content))
 //       feed.takeShared(value(content), requestStart);
 //
 // Pure functions without state.
@@ -36,8 +37,13 @@
     std::string detail;
 };
 
-// Encodes the content (CBOR). Values may be any bytes.
-std::string encodeFeedContent(const FeedContent &content);
+// Packs the lists of both prefixes (CBOR, compressed). Values may be any bytes. Worth keeping for
+// as long as the lists stay the same: it takes most of the time.
+std::string packLists(const WatchResult &operatorKeys, const WatchResult &targets);
+
+// Encodes a content from packed lists and their ages (CBOR).
+std::string encodeFeedContent(const std::string &packedLists, Milliseconds operatorAge,
+                              Milliseconds targetsAge);
 
 // Decodes it. Errors: anything that encodeFeedContent() does not write.
 Result<FeedContent, FeedContentError> decodeFeedContent(std::string_view bytes);
--- a/chestnutvane/process/gateway/feed_content_test.cc
+++ b/chestnutvane/process/gateway/feed_content_test.cc
@@ -14,11 +14,17 @@
     return content;
 }
 
+std::string encoded(const FeedContent &content)
+{
+    return encodeFeedContent(packLists(content.operatorKeys.list, content.targets.list),
+                             content.operatorKeys.age, content.targets.age);
+}
+
 // Guards against a value that is lost on the way, such as one that is no text.
 TEST(FeedContentTest, DecodedContentEqualsTheEncodedOne)
 {
     const FeedContent sent = sample();
-    const auto decoded = decodeFeedContent(encodeFeedContent(sent));
+    const auto decoded = decodeFeedContent(encoded(sent));
     ASSERT_TRUE(isOk(decoded));
     const std::pair<FeedPart, FeedPart> parts[] = {{value(decoded).operatorKeys, sent.operatorKeys},
                                                    {value(decoded).targets, sent.targets}};
@@ -37,7 +43,7 @@
 // Guards against an instance that starts with an answer that was cut or is of another kind.
 TEST(FeedContentTest, OtherBytesAreRefused)
 {
-    const std::string whole = encodeFeedContent(sample());
+    const std::string whole = encoded(sample());
     for (std::size_t length = 0; length < whole.size(); ++length)
         EXPECT_FALSE(isOk(decodeFeedContent(whole.substr(0, length)))) << length;
     EXPECT_FALSE(isOk(decodeFeedContent("# HELP vane_requests_total")));
--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -184,7 +184,7 @@
     });
 }
 
-void FleetLink::sendTo(Receiver &receiver, const std::vector<FeedChange> &changes)
+void FleetLink::sendTo(Receiver &receiver, const std::string &change)
 {
     LoadReport report;
     report.sender = self_;
@@ -194,7 +194,7 @@
     if (fillFeed_)
         fillFeed_(report);
     report.warm = std::exchange(receiver.warm, {});
-    report.changes = changes;
+    report.change = change;
     const TimePoint now = Clock::now();
     const bool withNames = now - receiver.namesSent >= namesPeriod || state_ != receiver.stateSent;
     const std::string datagram =
@@ -215,11 +215,11 @@
     return reportPace(inRegion, receivers_.size() - inRegion);
 }
 
-void FleetLink::sendNews(const std::vector<FeedChange> &changes)
+void FleetLink::sendNews(const std::string &change)
 {
     for (auto &[id, receiver] : receivers_) {
         if (receiver.ownRegion)
-            sendTo(receiver, changes);
+            sendTo(receiver, change);
     }
 }
 
--- a/chestnutvane/process/gateway/fleet_link.h
+++ b/chestnutvane/process/gateway/fleet_link.h
@@ -78,8 +78,8 @@
     }
 
     // Sends a report to the own region, because what this instance knows of the store has changed,
-    // with the changes.
-    void sendNews(const std::vector<FeedChange> &changes);
+    // with the encoded change.
+    void sendNews(const std::string &change);
 
     // Tells all other instances of a new state at once.
     void setState(PeerState state);
@@ -103,7 +103,7 @@
     void receive();
     void onDatagram(std::size_t bytes);
     void onChange(const WarmNote *note);
-    void sendTo(Receiver &receiver, const std::vector<FeedChange> &changes = {});
+    void sendTo(Receiver &receiver, const std::string &change = {});
     void tick();
     void arrangeSoon();
     [[nodiscard]] ReportPace pace() const;
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -20,8 +20,9 @@
 
 // Path on the metrics address under which instances tell each other what they have read.
 constexpr std::string_view feedPath = "/v1/feed";
-// Longer than an answer of 1 MB takes on the slowest link, 10 Mbit/s.
-constexpr Milliseconds feedTimeout{1500};
+// Answers of 516 targets have 20 kB, and 22 instances may ask at once over a link of 10 Mbit/s; an
+// instance without an answer must still learn from the store what a target's drain time asks for.
+constexpr Milliseconds feedTimeout{400};
 
 std::uint64_t randomIncarnation()
 {
@@ -45,9 +46,8 @@
     : io_(io), settings_(settings), platform_(std::move(platform)), client_(client),
       self_(identityOf(settings_)), gateway_(io, settings_, metrics_),
       feed_(io, platform_.store, platform_.format, self_, feedEvents()),
-      learnedKeeper_(io, platform_.store,
-                     platform_.format.learnedPrefix + settings_.regionOf(settings_.zone),
-                     learnedSource()),
+      learnedKeeper_(io, platform_.store, platform_.format.learnedPrefix,
+                     settings_.regionOf(settings_.zone), learnedSource()),
       signals_(io, SIGTERM, SIGINT, SIGHUP), tickTimer_(io), endTimer_(io)
 { }
 
@@ -145,9 +145,13 @@
     events.onInstances = [this](const std::vector<PeerIdentity> &instances) {
         link_->keepOnly(instances);
     };
-    events.onChanged = [this](const std::vector<FeedChange> &changes) {
+    events.onChanged = [this](const std::string &change) {
         if (feed_.isReader())
-            link_->sendNews(changes);
+            link_->sendNews(change);
+    };
+    events.askPeer = [this](const PeerIdentity &peer) {
+        askPeer(peer);
+        return true;
     };
     return events;
 }
@@ -156,7 +160,7 @@
 {
     return {[this] { return gateway_.learned(); },
             [this](const LearnedState &state) {
-                learnedBefore_ = state;
+                learnedBefore_.push_back(state);
                 takeLearned();
             },
             [this] { return isReady() && feed_.isReader(); }};
@@ -164,10 +168,10 @@
 
 void GatewayProcess::takeLearned()
 {
-    if (!targetsKnown_ || !learnedBefore_)
+    if (!targetsKnown_)
         return;
-    gateway_.takeLearned(*learnedBefore_);
-    learnedBefore_.reset();
+    for (const LearnedState &state : std::exchange(learnedBefore_, {}))
+        gateway_.takeLearned(state);
 }
 
 bool GatewayProcess::isReady() const
@@ -205,7 +209,20 @@
     call.answer(std::move(message));
 }
 
-void GatewayProcess::answerMetrics(Call call) const
+// Packing takes milliseconds, and all instances of a region may ask at once.
+const std::string &GatewayProcess::packedLists()
+{
+    const std::pair fingerprints(feed_.operatorStatus().fingerprint,
+                                 feed_.targetsStatus().fingerprint);
+    if (fingerprints != packedFor_) {
+        const FeedContent content = feed_.content();
+        packedLists_ = packLists(content.operatorKeys.list, content.targets.list);
+        packedFor_ = fingerprints;
+    }
+    return packedLists_;
+}
+
+void GatewayProcess::answerMetrics(Call call)
 {
     HttpResponseMessage message(http::status::ok, 11);
     const auto target = call.request->target();
@@ -213,7 +230,8 @@
         if (!feed_.hasReadAll())
             return call.answer(HttpResponseMessage(http::status::service_unavailable, 11));
         message.set(http::field::content_type, "application/cbor");
-        message.body() = encodeFeedContent(feed_.content());
+        message.body() = encodeFeedContent(packedLists(), feed_.operatorStatus().age,
+                                           feed_.targetsStatus().age);
         return call.answer(std::move(message));
     }
     message.set(http::field::content_type, "text/plain");
@@ -318,17 +336,21 @@
         found = std::find_if(peers.begin(), peers.end(), canTell);
     if (found == peers.end())
         return;
-    asksPeer_ = true;
     askedPeer_ = found->first;
+    askPeer(found->second.report.sender);
+}
+
+void GatewayProcess::askPeer(const PeerIdentity &peer)
+{
+    if (std::exchange(asksPeer_, true))
+        return; // the answer to the question under way may do
     HttpRequest request;
-    request.url = "http://" + found->second.report.sender.metricsAddress + std::string(feedPath);
+    request.url = "http://" + peer.metricsAddress + std::string(feedPath);
     request.timeout = feedTimeout;
-    client_.send(std::move(request),
-                 [this, peer = askedPeer_, asked = BootClock::now()](auto answer) {
-                     net::post(io_, [this, peer, asked, answer = std::move(answer)] {
-                         onShared(peer, asked, answer);
-                     });
-                 });
+    client_.send(std::move(request), [this, id = peer.id, asked = BootClock::now()](auto answer) {
+        net::post(io_,
+                  [this, id, asked, answer = std::move(answer)] { onShared(id, asked, answer); });
+    });
 }
 
 void GatewayProcess::onShared(const std::string &peer, BootTime asked,
@@ -346,6 +368,7 @@
         problem = error(content).detail;
     }
     logEvent(Event::ConfigFetched, {{"peer", peer}, {"problem", problem}});
+    feed_.readOutdated(); // what the answer did not help with
 }
 
 void GatewayProcess::tick()
--- a/chestnutvane/process/gateway/gateway_process.h
+++ b/chestnutvane/process/gateway/gateway_process.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -60,7 +61,8 @@
     [[nodiscard]] bool isReady() const;
     void answerReadiness(Call call) const;
     void answerDirectory(Call call);
-    void answerMetrics(Call call) const;
+    void answerMetrics(Call call);
+    [[nodiscard]] const std::string &packedLists();
     [[nodiscard]] std::vector<DirectoryInstance> instances() const;
     [[nodiscard]] FeedEvents feedEvents();
     void updateState();
@@ -69,6 +71,7 @@
     void takeLearned();
     void chooseReader();
     void learnFromPeer();
+    void askPeer(const PeerIdentity &peer);
     void onShared(const std::string &peer, BootTime asked,
                   const Result<HttpResponse, HttpError> &answer);
     void tick();
@@ -83,7 +86,7 @@
     Gateway gateway_;
     StoreFeed feed_;
     LearnedKeeper learnedKeeper_;
-    std::optional<LearnedState> learnedBefore_; // until the targets are known
+    std::vector<LearnedState> learnedBefore_; // of each region, until the targets are known
     std::unique_ptr<FleetLink> link_;
     std::shared_ptr<CallerListener> callers_;
     std::shared_ptr<CallerListener> readiness_;
@@ -94,7 +97,9 @@
     net::steady_timer endTimer_;
     bool targetsKnown_ = false;
     bool asksPeer_ = false; // a question to another instance is under way
-    std::string askedPeer_; // the last one that was asked
+    std::string askedPeer_; // the last one that was asked at a start
+    std::string packedLists_; // what other instances are told
+    std::pair<std::uint64_t, std::uint64_t> packedFor_; // fingerprints of its two lists
     std::optional<TimePoint> stopping_;
 };
 
--- a/chestnutvane/process/gateway/learned_keeper.cc
+++ b/chestnutvane/process/gateway/learned_keeper.cc
@@ -16,10 +16,10 @@
 
 } // namespace
 
-LearnedKeeper::LearnedKeeper(boost::asio::io_context &io, Store store, std::string key,
-                             LearnedSource source)
-    : io_(io), store_(std::move(store)), key_(std::move(key)), source_(std::move(source)),
-      timer_(io)
+LearnedKeeper::LearnedKeeper(boost::asio::io_context &io, Store store, std::string prefix,
+                             const std::string &region, LearnedSource source)
+    : io_(io), store_(std::move(store)), prefix_(std::move(prefix)), key_(prefix_ + region),
+      source_(std::move(source)), timer_(io)
 { }
 
 void LearnedKeeper::start()
@@ -35,7 +35,7 @@
 
 void LearnedKeeper::read()
 {
-    store_.listStale(key_, [this](Result<WatchResult, StoreError> result) {
+    store_.listStale(prefix_, [this](Result<WatchResult, StoreError> result) {
         boost::asio::post(io_, [this, result = std::move(result)] { onRead(result); });
     });
 }
@@ -54,15 +54,14 @@
     }
     failing_ = false;
     for (const StoreEntry &entry : value(result).entries) {
-        if (entry.key != key_)
-            continue;
         const auto state = decodeLearnedState(entry.value);
         if (!isOk(state)) {
             fail("decode", "not-readable", error(state).detail);
             continue;
         }
         logEvent(Event::LearnedTaken,
-                 {{"store-version", entry.version},
+                 {{"key", entry.key},
+                  {"store-version", entry.version},
                   {"targets", value(state).targets.size()},
                   {"routes", value(state).times.routes.size()}});
         source_.taken(value(state));
--- a/chestnutvane/process/gateway/learned_keeper.h
+++ b/chestnutvane/process/gateway/learned_keeper.h
@@ -1,13 +1,14 @@
 // Keeps what the instances of a region have learned in the store, and hands it to an instance that
 // starts.
 //
-// One instance of the region writes it at a fixed period; the others only read it once. An instance
-// that has not read what is there writes nothing, so that a fleet which starts again does not
-// replace it by the little that it knows.
+// One instance of the region writes it at a fixed period, under a key of the region. An instance
+// that starts reads the keys of all regions once, as it may send requests to each. One that has not
+// read what is there writes nothing, so that a fleet which starts again does not replace it by the
+// little that it knows.
 //
 // Example:
 //
-//   LearnedKeeper keeper(io, store, key, {learned, taken, isWriter});
+//   LearnedKeeper keeper(io, store, prefix, region, {learned, taken, isWriter});
 //   keeper.start();
 //
 // Not thread-safe: everything runs on the io_context's one thread; the callbacks of the store may
@@ -30,7 +31,7 @@
 struct LearnedSource
 {
     std::function<LearnedState()> learned; // what is to be kept
-    std::function<void(const LearnedState &)> taken; // what was learned before, once
+    std::function<void(const LearnedState &)> taken; // what was learned before, once a region
     std::function<bool()> isWriter; // whether this instance writes for its region
 };
 
@@ -41,7 +42,8 @@
     // this period the writes of three regions are one call a second.
     static constexpr Milliseconds period{3000};
 
-    LearnedKeeper(boost::asio::io_context &io, Store store, std::string key, LearnedSource source);
+    LearnedKeeper(boost::asio::io_context &io, Store store, std::string prefix,
+                  const std::string &region, LearnedSource source);
 
     void start();
 
@@ -56,6 +58,7 @@
 
     boost::asio::io_context &io_;
     Store store_;
+    std::string prefix_;
     std::string key_;
     LearnedSource source_;
     boost::asio::steady_timer timer_;
--- a/chestnutvane/process/gateway/learned_keeper_test.cc
+++ b/chestnutvane/process/gateway/learned_keeper_test.cc
@@ -69,25 +69,36 @@
 TEST_F(LearnedKeeperTest, AStartTakesWhatAnEarlierOneLearned)
 {
     {
-        LearnedKeeper keeper(io_, store_, "l/here", source(7, true));
+        LearnedKeeper keeper(io_, store_, "l/", "here", source(7, true));
         keeper.start();
         runUntil([this] { return writes_ == 2; });
         EXPECT_TRUE(taken_.empty());
     }
     io_.restart();
-    LearnedKeeper later(io_, store_, "l/here", source(8, false));
+    LearnedKeeper later(io_, store_, "l/", "here", source(8, false));
     later.start();
     runUntil([this] { return !taken_.empty(); });
     ASSERT_EQ(taken_.size(), 1);
     EXPECT_EQ(taken_.front().targets.front().target, 7);
 }
 
+// Guards against an instance that takes the targets of other regions for cold.
+TEST_F(LearnedKeeperTest, AStartTakesWhatAllRegionsLearned)
+{
+    LearnedKeeper keeper(io_, store_, "l/", "there", source(7, false));
+    version_ = 1;
+    value_ = encodeLearnedState(source(8, false).learned()); // of the region "here"
+    keeper.start();
+    runUntil([this] { return !taken_.empty(); });
+    EXPECT_EQ(taken_.front().targets.front().target, 8);
+}
+
 // Guards against an instance that starts without the store and then replaces what was learned by
 // the little that it knows.
 TEST_F(LearnedKeeperTest, NothingIsWrittenBeforeARead)
 {
     isAway_ = true;
-    LearnedKeeper keeper(io_, store_, "l/here", source(7, true));
+    LearnedKeeper keeper(io_, store_, "l/", "here", source(7, true));
     keeper.start();
     runUntil([this] { return reads_ == 4; });
     EXPECT_EQ(writes_, 0);
@@ -98,7 +109,7 @@
 // Guards against a writer that stops for good after another one of its region wrote.
 TEST_F(LearnedKeeperTest, AWriterGoesOnAfterAnotherOne)
 {
-    LearnedKeeper keeper(io_, store_, "l/here", source(7, true));
+    LearnedKeeper keeper(io_, store_, "l/", "here", source(7, true));
     keeper.start();
     runUntil([this] { return writes_ == 1; });
     ++version_; // another one wrote
--- a/chestnutvane/process/gateway/load_report.cc
+++ b/chestnutvane/process/gateway/load_report.cc
@@ -30,32 +30,6 @@
     return counts;
 }
 
-Json encodeChange(const FeedChange &change)
-{
-    Json written = Json::array();
-    for (const StoreEntry &entry : change.written)
-        written.push_back(Json::array({entry.key, entry.version,
-                                       Json::binary({entry.value.begin(), entry.value.end()})}));
-    return Json::array({static_cast<int>(change.prefix), change.from, change.to, change.version,
-                        written, change.removed});
-}
-
-// Throws Json::exception.
-FeedChange decodeChange(const Json &json)
-{
-    FeedChange change;
-    change.prefix = json.at(0).get<int>() == 0 ? FeedPrefix::OperatorKeys : FeedPrefix::Targets;
-    change.from = json.at(1);
-    change.to = json.at(2);
-    change.version = json.at(3);
-    for (const Json &item : json.at(4)) {
-        const auto &bytes = item.at(2).get_binary();
-        change.written.push_back({item.at(0), {bytes.begin(), bytes.end()}, item.at(1)});
-    }
-    change.removed = json.at(5).get<std::vector<std::string>>();
-    return change;
-}
-
 } // namespace
 
 std::string encodeReport(const LoadReport &report, IdentityPart part)
@@ -77,11 +51,8 @@
                              report.targetsFeed.age.count(), report.operatorFeed.fingerprint,
                              report.operatorFeed.age.count()});
     // Older instances do not look at what follows the fields that they know.
-    Json changes = Json::array();
-    for (const FeedChange &change : report.changes)
-        changes.push_back(encodeChange(change));
-    if (!changes.empty())
-        list.push_back(changes);
+    if (!report.change.empty())
+        list.push_back(Json::binary({report.change.begin(), report.change.end()}));
     std::string text;
     Json::to_cbor(list, text);
     return text;
@@ -113,10 +84,10 @@
             report.warm.push_back({warm.at(i), warm.at(i + 1)});
         report.targetsFeed = {list.at(8), Milliseconds(list.at(9).get<Milliseconds::rep>())};
         report.operatorFeed = {list.at(10), Milliseconds(list.at(11).get<Milliseconds::rep>())};
-        constexpr std::size_t changesAt = 12;
-        if (list.size() > changesAt) {
-            for (const Json &change : list.at(changesAt))
-                report.changes.push_back(decodeChange(change));
+        constexpr std::size_t changeAt = 12;
+        if (list.size() > changeAt) {
+            const auto &bytes = list.at(changeAt).get_binary();
+            report.change.assign(bytes.begin(), bytes.end());
         }
         return report;
     } catch (const Json::exception &failure) {
--- a/chestnutvane/process/gateway/load_report.h
+++ b/chestnutvane/process/gateway/load_report.h
@@ -25,7 +25,6 @@
 #include "chestnutvane/base/enum_names.h"
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/base/time.h"
-#include "chestnutvane/process/gateway/feed_change.h"
 #include "chestnutvane/process/gateway/feed_sharing.h"
 
 namespace chestnutvane {
@@ -76,7 +75,7 @@
     std::map<std::uint64_t, int> inFlight; // attempts by target hash, without those at 0
     std::map<std::uint64_t, int> queued; // waiting requests by hash of the service
     std::vector<WarmNote> warm; // since the last report to the receiver
-    std::vector<FeedChange> changes; // that led to the content of the two statuses, once
+    std::string change; // that led to the content of a status, encoded (feed_change.h); once
 
     friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
--- a/chestnutvane/process/gateway/load_report_test.cc
+++ b/chestnutvane/process/gateway/load_report_test.cc
@@ -23,9 +23,7 @@
     result.inFlight = std::move(inFlight);
     result.queued = {{5, 2}};
     result.warm = {{1, 100}, {2, 200}};
-    result.changes = {
-            {FeedPrefix::Targets, 10, 11, 77, {{"t/1", std::string("\xff\x00", 2), 76}}, {"t/2"}},
-            {FeedPrefix::OperatorKeys, 9, 12, 78, {}, {}}};
+    result.change = std::string("\xff\x00\x01", 3);
     return result;
 }
 
--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -180,10 +180,19 @@
 {
     const BootTime now = BootClock::now();
     heardPeer_ = Clock::now();
-    for (const FeedChange &change : report.changes)
-        applyPeerChange(change, report);
+    if (!report.change.empty())
+        applyPeerChange(report);
     targetsFreshness_.onPeer(report.targetsFeed, now);
     operatorFreshness_.onPeer(report.operatorFeed, now);
+    if (!operatorFreshness_.isOutdated() && !targetsFreshness_.isOutdated())
+        return;
+    // The reader of the region reads; the others ask it first.
+    if (isReader_ || !events_.askPeer(report.sender))
+        readOutdated();
+}
+
+void StoreFeed::readOutdated()
+{
     for (const Loop loop : {Loop::Operator, Loop::Targets}) {
         if (freshness(loop).isOutdated() && !loops_[indexOf(loop)].waitsAfterFailure)
             check(loop);
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store_feed.h
@@ -63,7 +63,7 @@
     std::string evacuationPrefix; // followed by a zone
     std::string targetPrefix; // followed by the id of a target
     std::string instancePrefix; // of the entries of instances, written by them
-    std::string learnedPrefix; // of what the instances of a region have learned; a region follows
+    std::string learnedPrefix; // of what instances have learned; followed by a region
     std::function<Result<std::shared_ptr<const RouteTable>, FeedError>(std::string_view)>
             decodeRoutes;
     std::function<Result<TargetEntry, FeedError>(std::string id, std::string_view)> decodeTarget;
@@ -76,8 +76,11 @@
     std::function<void(std::set<std::string>)> onEvacuated;
     std::function<void(std::vector<TargetEntry>, RemovalPolicy)> onTargets;
     std::function<void(std::vector<PeerIdentity>)> onInstances;
-    // The content of a prefix has changed; the changes are those that others may apply.
-    std::function<void(const std::vector<FeedChange> &)> onChanged;
+    // The content of a prefix has changed; the encoded change is empty if others may not apply it.
+    std::function<void(const std::string &change)> onChanged;
+    // Another instance has newer content. Asks it, and passes the answer to takeShared(); returns
+    // whether it does.
+    std::function<bool(const PeerIdentity &)> askPeer;
 };
 
 class StoreFeed
@@ -106,10 +109,13 @@
     // What was read last, for an instance that starts while the store is away.
     [[nodiscard]] FeedContent content() const;
 
-    // Takes what another instance has read, as the answer to a question of the time given. What was
-    // read by this instance stays.
+    // Takes what another instance has read, as the answer to a question of the time given, if it is
+    // newer than what this instance knows.
     void takeShared(const FeedContent &content, BootTime asked);
 
+    // Reads what is known to be outdated, after another instance could not help.
+    void readOutdated();
+
     // Removes the own entry, so that callers are sent elsewhere.
     void leave();
 
@@ -136,7 +142,7 @@
     void check(Loop loop);
     void onList(Loop loop, const Result<WatchResult, StoreError> &result);
     void take(Loop loop, const WatchResult &list, BootTime start);
-    void applyPeerChange(const FeedChange &change, const LoadReport &report);
+    void applyPeerChange(const LoadReport &report);
     FeedContents takeOperator(const WatchResult &result);
     FeedContents takeTargets(const WatchResult &result);
     void renewLease();
--- a/chestnutvane/process/gateway/store_feed_content.cc
+++ b/chestnutvane/process/gateway/store_feed_content.cc
@@ -18,14 +18,23 @@
     if (known && change.from == change.to)
         return;
     // A list that lacks targets which may still live is for each instance to judge.
-    const bool mayBeApplied = known && isSmall(change) && (loop != Loop::Targets || !keptTargets_);
-    events_.onChanged(mayBeApplied ? std::vector{std::move(change)} : std::vector<FeedChange>{});
+    std::string encoded;
+    if (known && (loop != Loop::Targets || !keptTargets_))
+        encoded = encodeChange(change);
+    events_.onChanged(encoded.size() <= maxChangeBytes ? encoded : std::string());
 }
 
 // Applies a change that another instance read to the content that it read before, if that is the
 // own content. Else the own content is outdated, and a read follows.
-void StoreFeed::applyPeerChange(const FeedChange &change, const LoadReport &report)
+void StoreFeed::applyPeerChange(const LoadReport &report)
 {
+    const auto decoded = decodeChange(report.change);
+    if (!isOk(decoded)) {
+        logEvent(Event::ReportIgnored,
+                 {{"from", report.sender.id}, {"reason", error(decoded).detail}});
+        return;
+    }
+    const FeedChange &change = value(decoded);
     const Loop loop = change.prefix == FeedPrefix::OperatorKeys ? Loop::Operator : Loop::Targets;
     const FeedStatus &status = loop == Loop::Operator ? report.operatorFeed : report.targetsFeed;
     const BootTime readAt = BootClock::now() - status.age - reportTransit;
@@ -55,8 +64,11 @@
 {
     for (const Loop loop : {Loop::Operator, Loop::Targets}) {
         const FeedPart &part = loop == Loop::Operator ? content.operatorKeys : content.targets;
-        if (!freshness(loop).hasRead()) // an own read in the meantime is newer
-            take(loop, part.list, asked - part.age);
+        const BootTime readAt = asked - part.age;
+        if (freshness(loop).hasRead() && readAt <= freshness(loop).confirmedAt())
+            continue; // a read of this instance in the meantime is newer
+        loops_[indexOf(loop)].changedByPeer = readAt;
+        take(loop, part.list, readAt);
     }
 }
 
--- a/chestnutvane/process/gateway/store_feed_test.cc
+++ b/chestnutvane/process/gateway/store_feed_test.cc
@@ -74,17 +74,18 @@
             for (const TargetEntry &entry : entries)
                 known[entry.id] = entry.draining ? "draining" : "ready";
         };
-        events.onChanged = [this](const std::vector<FeedChange> &changes) { changes_ = changes; };
+        events.onChanged = [this](const std::string &change) { change_ = change; };
+        events.askPeer = [this](const PeerIdentity &) { return ++asked_ > 0 && answersQuestions_; };
         return std::make_unique<StoreFeed>(io_, store, format, PeerIdentity{id, 1}, events);
     }
 
     // What the instance tells the others now.
-    static LoadReport reportOf(const StoreFeed &feed, std::vector<FeedChange> changes)
+    static LoadReport reportOf(const StoreFeed &feed, const std::string &change)
     {
         LoadReport report;
         report.targetsFeed = feed.targetsStatus();
         report.operatorFeed = feed.operatorStatus();
-        report.changes = std::move(changes);
+        report.change = change;
         return report;
     }
 
@@ -110,7 +111,9 @@
     std::string heldFor_; // the answers to reads of this instance wait
     std::vector<std::pair<WatchResult, ListCallback>> waiting_;
     std::map<std::string, std::map<std::string, std::string>> known_; // targets by instance
-    std::vector<FeedChange> changes_; // the last that a feed told
+    std::string change_; // the last that a feed told
+    int asked_ = 0; // questions to other instances
+    bool answersQuestions_ = false;
 };
 
 // Guards against a large fleet in which each instance reads the list after each change of a target.
@@ -125,11 +128,12 @@
     lists_["t/"] = targets({{"t/1", "3 draining"}, {"t/3", "3"}}, 2);
     const std::map<std::string, std::string> wanted{{"1", "draining"}, {"3", "ready"}};
     runUntilKnown("reader", wanted);
-    ASSERT_EQ(changes_.size(), 1);
-    EXPECT_EQ(changes_.front().written.size(), 2);
-    EXPECT_EQ(changes_.front().removed.size(), 1);
+    const auto change = decodeChange(change_);
+    ASSERT_TRUE(isOk(change));
+    EXPECT_EQ(value(change).written.size(), 2);
+    EXPECT_EQ(value(change).removed.size(), 1);
     const int before = reads_["other t/"];
-    other->onPeer(reportOf(*reader, changes_));
+    other->onPeer(reportOf(*reader, change_));
     EXPECT_EQ(known_["other"], wanted);
     EXPECT_EQ(reads_["other t/"], before);
     EXPECT_EQ(other->targetsStatus().fingerprint, reader->targetsStatus().fingerprint);
@@ -151,7 +155,7 @@
     lists_["t/"] = targets({{"t/1", "3 draining"}}, 3);
     runUntilKnown("reader", {{"1", "draining"}});
     const std::map<std::string, std::string> old{{"1", "ready"}, {"2", "ready"}};
-    other->onPeer(reportOf(*reader, changes_));
+    other->onPeer(reportOf(*reader, change_));
     EXPECT_EQ(known_["other"], old);
     heldFor_.clear();
     for (const auto &[list, done] : std::exchange(waiting_, {}))
@@ -159,6 +163,39 @@
     runUntilKnown("other", {{"1", "draining"}});
 }
 
+// Guards against reads of all instances after a change that was too large for a report or was lost:
+// an instance asks the one that has newer content, and reads only if that cannot help.
+TEST_F(StoreFeedTest, AnOutdatedInstanceAsksTheReaderFirst)
+{
+    const auto reader = makeFeed("reader");
+    const auto other = makeFeed("other");
+    reader->start();
+    other->start();
+    runUntilKnown("other", {{"1", "ready"}, {"2", "ready"}});
+    other->setReader(false);
+    lists_["t/"] = targets({{"t/1", "3"}}, 2);
+    const std::map<std::string, std::string> wanted{{"1", "ready"}};
+    runUntilKnown("reader", wanted);
+    answersQuestions_ = true;
+    const int before = reads_["other t/"];
+    other->onPeer(reportOf(*reader, {}));
+    EXPECT_EQ(asked_, 1);
+    EXPECT_EQ(reads_["other t/"], before);
+    other->takeShared(reader->content(), BootClock::now());
+    EXPECT_EQ(known_["other"], wanted);
+    EXPECT_EQ(reads_["other t/"], before);
+    // An answer from before is no news.
+    lists_["t/"] = targets({{"t/1", "3"}, {"t/4", "3"}}, 3);
+    FeedContent old = reader->content();
+    runUntilKnown("reader", {{"1", "ready"}, {"4", "ready"}});
+    answersQuestions_ = false;
+    other->onPeer(reportOf(*reader, {}));
+    runUntilKnown("other", {{"1", "ready"}, {"4", "ready"}});
+    old.targets.age = std::chrono::hours(1);
+    other->takeShared(old, BootClock::now());
+    EXPECT_EQ(known_["other"].size(), 2);
+}
+
 // Guards against a target that has left and gets requests again, because the answer to an own read
 // that began before a change arrived after it.
 TEST_F(StoreFeedTest, AnOlderReadDoesNotUndoAChange)
@@ -175,7 +212,7 @@
     lists_["t/"] = targets({{"t/1", "3"}}, 2);
     const std::map<std::string, std::string> wanted{{"1", "ready"}};
     runUntilKnown("reader", wanted);
-    other->onPeer(reportOf(*reader, changes_));
+    other->onPeer(reportOf(*reader, change_));
     EXPECT_EQ(known_["other"], wanted);
     for (const auto &[list, done] : std::exchange(waiting_, {}))
         done(list);
