Keep heartbeats from going back, and let only reads ask a store that is away

Content taken from another instance replaced the own list, so that a heartbeat could go back; the target would have been taken for one that has started again, and what is known of it forgotten.

While the store was down for 8 s four loops of each instance asked it, and each refused call is priced. Lease and list of instances now wait for the reads, which find a store that is back.

--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -97,6 +97,12 @@
                  {{"reason", enumName(storeFailureNames, failure.failure)},
                   {"detail", failure.detail}});
     }
+    // Refused calls are priced. The reads find a store that is back, and all else follows at once.
+    const bool isRead = loop == Loop::Operator || loop == Loop::Targets;
+    const bool readsWait = loops_[indexOf(Loop::Operator)].waitsAfterFailure
+            || loops_[indexOf(Loop::Targets)].waitsAfterFailure;
+    if (contactLost_ && !isRead && readsWait)
+        return;
     constexpr int maxDoublings = 4;
     const auto pause =
             std::min(longestPause, firstPause * (1 << std::min(state.failures - 1, maxDoublings)));
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store_feed.h
@@ -143,6 +143,8 @@
     void onList(Loop loop, const Result<WatchResult, StoreError> &result);
     void take(Loop loop, const WatchResult &list, BootTime start);
     void applyPeerChange(const LoadReport &report);
+    [[nodiscard]] FeedContents contentsOf(Loop loop, const WatchResult &list) const;
+    [[nodiscard]] std::string idOf(const StoreEntry &entry) const; // of a target
     FeedContents takeOperator(const WatchResult &result);
     FeedContents takeTargets(const WatchResult &result);
     void renewLease();
--- a/chestnutvane/process/gateway/store_feed_content.cc
+++ b/chestnutvane/process/gateway/store_feed_content.cc
@@ -67,11 +67,34 @@
         const BootTime readAt = asked - part.age;
         if (freshness(loop).hasRead() && readAt <= freshness(loop).confirmedAt())
             continue; // a read of this instance in the meantime is newer
-        loops_[indexOf(loop)].changedByPeer = readAt;
-        take(loop, part.list, readAt);
+        LoopState &state = loops_[indexOf(loop)];
+        state.changedByPeer = readAt;
+        // Entries that mean the same stay: their heartbeats here may be newer.
+        const FeedChange change =
+                changeBetween(state.contents, contentsOf(loop, part.list), part.list);
+        take(loop, applyChange(state.lastList, change), readAt);
     }
 }
 
+FeedContents StoreFeed::contentsOf(Loop loop, const WatchResult &list) const
+{
+    FeedContents contents;
+    for (const StoreEntry &entry : list.entries) {
+        if (loop == Loop::Operator) {
+            contents[entry.key] = entry.version;
+        } else if (const auto target = format_.decodeTarget(idOf(entry), entry.value);
+                   isOk(target)) {
+            contents[entry.key] = contentHash(value(target));
+        }
+    }
+    return contents;
+}
+
+std::string StoreFeed::idOf(const StoreEntry &entry) const
+{
+    return entry.key.substr(format_.targetPrefix.size());
+}
+
 FeedContents StoreFeed::takeOperator(const WatchResult &result)
 {
     std::set<std::string> evacuated;
@@ -115,7 +138,7 @@
     std::vector<TargetEntry> targets;
     std::set<std::string> ignored;
     for (const StoreEntry &entry : result.entries) {
-        const std::string id = entry.key.substr(format_.targetPrefix.size());
+        const std::string id = idOf(entry);
         auto target = format_.decodeTarget(id, entry.value);
         if (isOk(target)) {
             contents[entry.key] = contentHash(value(target));
--- a/chestnutvane/process/gateway/store_feed_test.cc
+++ b/chestnutvane/process/gateway/store_feed_test.cc
@@ -9,7 +9,8 @@
 
 using namespace std::chrono_literals;
 
-// A feed over a store in memory that counts its reads. Targets are written as "SLOTS[ draining]".
+// A feed over a store in memory that counts its calls. Targets are written as
+// "SLOTS[#SEQUENCE][ draining]".
 class StoreFeedTest : public ::testing::Test
 {
 protected:
@@ -18,12 +19,20 @@
     StoreFeedTest()
     {
         store_.grantLease = [](Milliseconds, const auto &done) { done(std::uint64_t{1}); };
-        store_.keepAlive = [](std::uint64_t, const auto &done) { done(Done{}); };
+        store_.keepAlive = [this](std::uint64_t, const auto &done) {
+            ++otherCalls_;
+            if (isAway_)
+                return done(StoreError{StoreFailure::Unavailable, ""});
+            done(Done{});
+        };
         store_.compareAndSwap = [](const CompareAndSwap &, const auto &done) {
             done(std::uint64_t{1});
         };
         store_.revokeLease = store_.keepAlive;
-        store_.listStale = [](const std::string &, const ListCallback &done) {
+        store_.listStale = [this](const std::string &, const ListCallback &done) {
+            ++otherCalls_;
+            if (isAway_)
+                return done(StoreError{StoreFailure::Unavailable, ""});
             done(WatchResult{});
         };
         lists_["t/"] = targets({{"t/1", "3"}, {"t/2", "3"}}, 1);
@@ -54,12 +63,16 @@
             entry.id = std::move(key);
             entry.slots = std::stoi(std::string(text));
             entry.draining = text.ends_with("draining");
+            if (const auto mark = text.find('#'); mark != std::string_view::npos)
+                entry.sequence = std::stoull(std::string(text.substr(mark + 1)));
             return entry;
         };
         Store store = store_;
         store.list = [this, id](const std::string &prefix, const ListCallback &done) {
             ++reads_[id + ' ' + prefix];
-            if (id == heldFor_)
+            if (isAway_)
+                done(StoreError{StoreFailure::Unavailable, ""});
+            else if (id == heldFor_)
                 waiting_.emplace_back(lists_[prefix], done);
             else
                 done(lists_[prefix]);
@@ -71,8 +84,10 @@
         events.onTargets = [this, id](const std::vector<TargetEntry> &entries, RemovalPolicy) {
             auto &known = known_[id];
             known.clear();
-            for (const TargetEntry &entry : entries)
+            for (const TargetEntry &entry : entries) {
                 known[entry.id] = entry.draining ? "draining" : "ready";
+                sequences_[id + ' ' + entry.id] = entry.sequence;
+            }
         };
         events.onChanged = [this](const std::string &change) { change_ = change; };
         events.askPeer = [this](const PeerIdentity &) { return ++asked_ > 0 && answersQuestions_; };
@@ -108,9 +123,12 @@
     Store store_;
     std::map<std::string, WatchResult> lists_;
     std::map<std::string, int> reads_; // by instance and prefix
+    int otherCalls_ = 0; // renewals of leases and reads of the list of instances
+    bool isAway_ = false;
     std::string heldFor_; // the answers to reads of this instance wait
     std::vector<std::pair<WatchResult, ListCallback>> waiting_;
     std::map<std::string, std::map<std::string, std::string>> known_; // targets by instance
+    std::map<std::string, std::uint64_t> sequences_; // by instance and target
     std::string change_; // the last that a feed told
     int asked_ = 0; // questions to other instances
     bool answersQuestions_ = false;
@@ -196,6 +214,48 @@
     EXPECT_EQ(known_["other"].size(), 2);
 }
 
+// Guards against heartbeats that go back: the target would be taken for one that has started again,
+// and what is known of it forgotten.
+TEST_F(StoreFeedTest, SharedContentKeepsNewerHeartbeats)
+{
+    const auto reader = makeFeed("reader");
+    const auto other = makeFeed("other");
+    lists_["t/"] = targets({{"t/1", "3#5"}, {"t/2", "3#5"}}, 1);
+    reader->start();
+    runUntilKnown("reader", {{"1", "ready"}, {"2", "ready"}});
+    heldFor_ = "reader";
+    lists_["t/"] = targets({{"t/1", "3#9"}, {"t/2", "3#9"}}, 2);
+    other->start();
+    runUntilKnown("other", {{"1", "ready"}, {"2", "ready"}});
+    ASSERT_EQ(sequences_["other 1"], 9);
+    FeedContent content = reader->content();
+    content.targets.list = targets({{"t/1", "3#5"}, {"t/2", "3#10 draining"}}, 3);
+    content.targets.age = Milliseconds(0);
+    other->takeShared(content, BootClock::now());
+    const std::map<std::string, std::string> wanted{{"1", "ready"}, {"2", "draining"}};
+    EXPECT_EQ(known_["other"], wanted);
+    EXPECT_EQ(sequences_["other 1"], 9);
+    EXPECT_EQ(sequences_["other 2"], 10);
+}
+
+// Guards against a fleet that asks a store which is away four times as often as it must: each
+// refused call is priced. A store that is back is noticed by the reads, and all else follows.
+TEST_F(StoreFeedTest, OnlyReadsAskAStoreThatIsAway)
+{
+    const auto feed = makeFeed("reader");
+    feed->start();
+    runUntilKnown("reader", {{"1", "ready"}, {"2", "ready"}});
+    isAway_ = true;
+    runUntil([this] { return reads_["reader t/"] >= 3 && reads_["reader o/"] >= 3; });
+    const int before = otherCalls_;
+    const int reads = reads_["reader t/"];
+    runUntil([this, reads] { return reads_["reader t/"] >= reads + 6; });
+    EXPECT_LE(otherCalls_ - before, 2);
+    isAway_ = false;
+    const int then = otherCalls_;
+    runUntil([this, then] { return otherCalls_ >= then + 2; });
+}
+
 // Guards against a target that has left and gets requests again, because the answer to an own read
 // that began before a change arrived after it.
 TEST_F(StoreFeedTest, AnOlderReadDoesNotUndoAChange)
