Play the start of an instance that knows what was learned, and say what binds

AStartedInstanceSendsObjectsToTheTargetsThatHoldThem plays 40 requests on 20 targets: all 40 go to a target that holds the object; without what was learned each target gets 1 to 3 by its rank, and the test fails.

--- a/chestnutvane/process/gateway/crowded_gateway.h
+++ b/chestnutvane/process/gateway/crowded_gateway.h
@@ -69,6 +69,20 @@
         }
     }
 
+    // The object of a request of ask(), by its position.
+    static std::uint64_t objectOf(int position)
+    {
+        return reportKey(hash64(std::to_string(position), hash64("/")));
+    }
+
+    // Requests that were sent to targets of the own region, by whether these were thought to hold
+    // the object ("yes" or "no").
+    [[nodiscard]] double sends(const std::string &warm) const
+    {
+        return metrics.value("vane_gateway_sends_total",
+                             {{"service", service}, {"region", "here"}, {"warm", warm}});
+    }
+
     // Looks at the waiting requests so far.
     [[nodiscard]] double looks() const
     {
--- a/chestnutvane/process/gateway/gateway_test.cc
+++ b/chestnutvane/process/gateway/gateway_test.cc
@@ -145,5 +145,43 @@
     EXPECT_LE(pauseAfterLook(8, 16), std::chrono::milliseconds(1));
 }
 
+// Guards against a fleet that lost power and takes all targets for cold: each run then takes three
+// times as long, until all is learned again.
+TEST(GatewayTest, AStartedInstanceSendsObjectsToTheTargetsThatHoldThem)
+{
+    constexpr int objects = 40;
+    CrowdedGateway crowded(40);
+    crowded.release();
+    std::vector<std::shared_ptr<Target>> near;
+    for (const auto &target : crowded.gateway.registry().targetsOf(CrowdedGateway::service)) {
+        if (target->entry.zone == "near")
+            near.push_back(target);
+    }
+    LearnedState state;
+    for (std::size_t i = 0; i < near.size(); ++i) {
+        LearnedTarget learned{near[i]->hash, near[i]->entry.startedAt, {}};
+        for (std::size_t object = i; object < objects; object += near.size())
+            learned.objects.push_back(CrowdedGateway::objectOf(static_cast<int>(object)));
+        state.targets.push_back(learned);
+    }
+    crowded.gateway.takeLearned(state);
+    crowded.ask(objects);
+    for (const auto &target : near)
+        EXPECT_EQ(target->inFlight, objects / static_cast<int>(near.size()));
+    EXPECT_EQ(crowded.sends("yes"), objects);
+}
+
+// Guards against objects that are sent to a target which has started again since and holds none.
+TEST(GatewayTest, WhatWasLearnedOfAnEarlierStartIsNotTaken)
+{
+    CrowdedGateway crowded(2);
+    const auto &target = crowded.gateway.registry().targetsOf(CrowdedGateway::service).front();
+    LearnedState state;
+    state.targets = {{target->hash, target->entry.startedAt + 1, {5}}};
+    crowded.gateway.takeLearned(state);
+    EXPECT_EQ(target->warm.size(), 0);
+    EXPECT_FALSE(target->used);
+}
+
 } // namespace
 } // namespace chestnutvane
