Let the question to another instance always end in a read if it does not help

askPeer returned whether it asks, which was always so; its contract now says what follows. No change of behaviour.

--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -149,10 +149,7 @@
         if (feed_.isReader())
             link_->sendNews(change);
     };
-    events.askPeer = [this](const PeerIdentity &peer) {
-        askPeer(peer);
-        return true;
-    };
+    events.askPeer = [this](const PeerIdentity &peer) { askPeer(peer); };
     return events;
 }
 
--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -193,8 +193,10 @@
     if (!operatorFreshness_.isOutdated() && !targetsFreshness_.isOutdated())
         return;
     // The reader of the region reads; the others ask it first.
-    if (isReader_ || !events_.askPeer(report.sender))
+    if (isReader_)
         readOutdated();
+    else
+        events_.askPeer(report.sender);
 }
 
 void StoreFeed::readOutdated()
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store_feed.h
@@ -78,9 +78,9 @@
     std::function<void(std::vector<PeerIdentity>)> onInstances;
     // The content of a prefix has changed; the encoded change is empty if others may not apply it.
     std::function<void(const std::string &change)> onChanged;
-    // Another instance has newer content. Asks it, and passes the answer to takeShared(); returns
-    // whether it does.
-    std::function<bool(const PeerIdentity &)> askPeer;
+    // Another instance has newer content. Asks it, passes the answer to takeShared(), and calls
+    // readOutdated() after that or without an answer.
+    std::function<void(const PeerIdentity &)> askPeer;
 };
 
 class StoreFeed
--- a/chestnutvane/process/gateway/store_feed_test.cc
+++ b/chestnutvane/process/gateway/store_feed_test.cc
@@ -90,7 +90,7 @@
             }
         };
         events.onChanged = [this](const std::string &change) { change_ = change; };
-        events.askPeer = [this](const PeerIdentity &) { return ++asked_ > 0 && answersQuestions_; };
+        events.askPeer = [this](const PeerIdentity &) { ++asked_; };
         return std::make_unique<StoreFeed>(io_, store, format, PeerIdentity{id, 1}, events);
     }
 
@@ -131,7 +131,6 @@
     std::map<std::string, std::uint64_t> sequences_; // by instance and target
     std::string change_; // the last that a feed told
     int asked_ = 0; // questions to other instances
-    bool answersQuestions_ = false;
 };
 
 // Guards against a large fleet in which each instance reads the list after each change of a target.
@@ -175,6 +174,7 @@
     const std::map<std::string, std::string> old{{"1", "ready"}, {"2", "ready"}};
     other->onPeer(reportOf(*reader, change_));
     EXPECT_EQ(known_["other"], old);
+    EXPECT_EQ(asked_, 1);
     heldFor_.clear();
     for (const auto &[list, done] : std::exchange(waiting_, {}))
         done(list);
@@ -194,7 +194,6 @@
     lists_["t/"] = targets({{"t/1", "3"}}, 2);
     const std::map<std::string, std::string> wanted{{"1", "ready"}};
     runUntilKnown("reader", wanted);
-    answersQuestions_ = true;
     const int before = reads_["other t/"];
     other->onPeer(reportOf(*reader, {}));
     EXPECT_EQ(asked_, 1);
@@ -206,8 +205,9 @@
     lists_["t/"] = targets({{"t/1", "3"}, {"t/4", "3"}}, 3);
     FeedContent old = reader->content();
     runUntilKnown("reader", {{"1", "ready"}, {"4", "ready"}});
-    answersQuestions_ = false;
     other->onPeer(reportOf(*reader, {}));
+    EXPECT_EQ(asked_, 2);
+    other->readOutdated(); // no answer came
     runUntilKnown("other", {{"1", "ready"}, {"4", "ready"}});
     old.targets.age = std::chrono::hours(1);
     other->takeShared(old, BootClock::now());
