--- a/chestnutvane/process/gateway/store_feed_test.cc
+++ b/chestnutvane/process/gateway/store_feed_test.cc
@@ -94,6 +94,18 @@
         return std::make_unique<StoreFeed>(io_, store, format, PeerIdentity{id, 1}, events);
     }
 
+    // Starts a reader and an instance that goes by its word; both know the targets 1 and 2.
+    std::pair<std::unique_ptr<StoreFeed>, std::unique_ptr<StoreFeed>> startPair()
+    {
+        auto reader = makeFeed("reader");
+        auto other = makeFeed("other");
+        reader->start();
+        other->start();
+        runUntilKnown("other", {{"1", "ready"}, {"2", "ready"}});
+        other->setReader(false);
+        return {std::move(reader), std::move(other)};
+    }
+
     // What the instance tells the others now.
     static LoadReport reportOf(const StoreFeed &feed, const std::string &change)
     {
@@ -136,12 +148,7 @@
 // Guards against a large fleet in which each instance reads the list after each change of a target.
 TEST_F(StoreFeedTest, AChangeThatAnotherInstanceReadNeedsNoRead)
 {
-    const auto reader = makeFeed("reader");
-    const auto other = makeFeed("other");
-    reader->start();
-    other->start();
-    runUntilKnown("other", {{"1", "ready"}, {"2", "ready"}});
-    other->setReader(false);
+    const auto [reader, other] = startPair();
     lists_["t/"] = targets({{"t/1", "3 draining"}, {"t/3", "3"}}, 2);
     const std::map<std::string, std::string> wanted{{"1", "draining"}, {"3", "ready"}};
     runUntilKnown("reader", wanted);
@@ -160,12 +167,7 @@
 // instance lost the report of an earlier one.
 TEST_F(StoreFeedTest, AChangeAfterOneThatWasLostLeadsToARead)
 {
-    const auto reader = makeFeed("reader");
-    const auto other = makeFeed("other");
-    reader->start();
-    other->start();
-    runUntilKnown("other", {{"1", "ready"}, {"2", "ready"}});
-    other->setReader(false);
+    const auto [reader, other] = startPair();
     heldFor_ = "other"; // its own reads do not tell it either
     lists_["t/"] = targets({{"t/1", "3"}}, 2);
     runUntilKnown("reader", {{"1", "ready"}});
@@ -185,12 +187,7 @@
 // an instance asks the one that has newer content, and reads only if that cannot help.
 TEST_F(StoreFeedTest, AnOutdatedInstanceAsksTheReaderFirst)
 {
-    const auto reader = makeFeed("reader");
-    const auto other = makeFeed("other");
-    reader->start();
-    other->start();
-    runUntilKnown("other", {{"1", "ready"}, {"2", "ready"}});
-    other->setReader(false);
+    const auto [reader, other] = startPair();
     lists_["t/"] = targets({{"t/1", "3"}}, 2);
     const std::map<std::string, std::string> wanted{{"1", "ready"}};
     runUntilKnown("reader", wanted);
@@ -260,12 +257,7 @@
 // that began before a change arrived after it.
 TEST_F(StoreFeedTest, AnOlderReadDoesNotUndoAChange)
 {
-    const auto reader = makeFeed("reader");
-    const auto other = makeFeed("other");
-    reader->start();
-    other->start();
-    runUntilKnown("other", {{"1", "ready"}, {"2", "ready"}});
-    other->setReader(false);
+    const auto [reader, other] = startPair();
     heldFor_ = "other";
     runUntil([this] { return waiting_.size() == 2; }); // both of its reads
     io_.run_for(2 * reportTransit);
