Drop answers of the store that come after the end of their object

The keeper posts the answer of the store to its io_context with a bare `this`, and the test ends the keeper between the answer and the next turn of the io_context. Whether the turn comes first depends on the moment at which a 5 ms run ends, so the test passed in earlier runs. StoreFeed and GatewayProcess post in the same way.

Ruled out: a fault of the test alone. An adapter calls back on a thread of its own at any time, so nothing but the callback can know that its owner is gone.

OwnerThread wraps callbacks and timer handlers: they run on the owner's thread and do nothing once it is gone. The keeper, the feed and the process use it; the answers to a renewal and to a write of the own entry share one function now.

Tests that failed first under AddressSanitizer (heap-use-after-free, each run): LearnedKeeperTest.AReadThatEndsAfterItsKeeperIsDropped, StoreFeedTest.AnswersAfterTheEndOfAFeedAreDropped.

--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -4,8 +4,6 @@
 #include <csignal>
 #include <random>
 
-#include <boost/asio/post.hpp>
-
 #include "chestnutvane/process/log.h"
 
 namespace chestnutvane {
@@ -48,7 +46,7 @@
       feed_(io, platform_.store, platform_.format, self_, feedEvents()),
       learnedKeeper_(io, platform_.store, platform_.format.learnedPrefix,
                      settings_.regionOf(settings_.zone), learnedSource()),
-      signals_(io, SIGTERM, SIGINT, SIGHUP), tickTimer_(io), endTimer_(io)
+      signals_(io, SIGTERM, SIGINT, SIGHUP), tickTimer_(io), endTimer_(io), owner_(io)
 { }
 
 Result<std::unique_ptr<GatewayProcess>, ListenError>
@@ -295,10 +293,10 @@
         return io_.stop();
     }
     endTimer_.expires_after(endCheckPeriod);
-    endTimer_.async_wait([this](const boost::system::error_code &ended) {
+    endTimer_.async_wait(owner_.guarded([this](const boost::system::error_code &ended) {
         if (!ended)
             checkEnd();
-    });
+    }));
 }
 
 void GatewayProcess::chooseReader()
@@ -344,10 +342,11 @@
     HttpRequest request;
     request.url = "http://" + peer.metricsAddress + std::string(feedPath);
     request.timeout = feedTimeout;
-    client_.send(std::move(request), [this, id = peer.id, asked = BootClock::now()](auto answer) {
-        net::post(io_,
-                  [this, id, asked, answer = std::move(answer)] { onShared(id, asked, answer); });
-    });
+    client_.send(std::move(request),
+                 owner_.posted<Result<HttpResponse, HttpError>>(
+                         [this, id = peer.id, asked = BootClock::now()](const auto &a) {
+                             onShared(id, asked, a);
+                         }));
 }
 
 void GatewayProcess::onShared(const std::string &peer, BootTime asked,
@@ -376,10 +375,10 @@
     learnFromPeer();
     constexpr Milliseconds period{500};
     tickTimer_.expires_after(period);
-    tickTimer_.async_wait([this](const boost::system::error_code &ended) {
+    tickTimer_.async_wait(owner_.guarded([this](const boost::system::error_code &ended) {
         if (!ended)
             tick();
-    });
+    }));
 }
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/gateway_process.h
+++ b/chestnutvane/process/gateway/gateway_process.h
@@ -24,6 +24,7 @@
 #include "chestnutvane/process/gateway/gateway.h"
 #include "chestnutvane/process/gateway/learned_keeper.h"
 #include "chestnutvane/process/gateway/store_feed.h"
+#include "chestnutvane/process/owner_thread.h"
 
 namespace chestnutvane {
 
@@ -42,7 +43,7 @@
 class GatewayProcess
 {
 public:
-    // The client must outlive the last callback of the io_context.
+    // The client and the io_context must outlive all calls of the process.
     static Result<std::unique_ptr<GatewayProcess>, ListenError>
     create(net::io_context &io, const GatewaySettings &settings, GatewayPlatform platform,
            HttpClient &client);
@@ -101,6 +102,7 @@
     std::string packedLists_; // what other instances are told
     std::pair<std::uint64_t, std::uint64_t> packedFor_; // fingerprints of its two lists
     std::optional<TimePoint> stopping_;
+    OwnerThread owner_; // destroyed first
 };
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/learned_keeper.cc
+++ b/chestnutvane/process/gateway/learned_keeper.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/post.hpp>
-
 #include "chestnutvane/process/log.h"
 
 namespace chestnutvane {
@@ -18,8 +16,8 @@
 
 LearnedKeeper::LearnedKeeper(boost::asio::io_context &io, Store store, std::string prefix,
                              const std::string &region, LearnedSource source)
-    : io_(io), store_(std::move(store)), prefix_(std::move(prefix)), key_(prefix_ + region),
-      source_(std::move(source)), timer_(io)
+    : store_(std::move(store)), prefix_(std::move(prefix)), key_(prefix_ + region),
+      source_(std::move(source)), timer_(io), owner_(io)
 { }
 
 void LearnedKeeper::start()
@@ -35,9 +33,9 @@
 
 void LearnedKeeper::read()
 {
-    store_.listStale(prefix_, [this](Result<WatchResult, StoreError> result) {
-        boost::asio::post(io_, [this, result = std::move(result)] { onRead(result); });
-    });
+    store_.listStale(prefix_,
+                     owner_.posted<Result<WatchResult, StoreError>>(
+                             [this](const auto &result) { onRead(result); }));
 }
 
 void LearnedKeeper::onRead(const Result<WatchResult, StoreError> &result)
@@ -45,12 +43,7 @@
     if (!isOk(result)) {
         fail("read", enumName(storeFailureNames, error(result).failure), error(result).detail);
         readPause_ = std::clamp(readPause_ * 2, firstPause, longestPause);
-        timer_.expires_after(readPause_);
-        timer_.async_wait([this](const boost::system::error_code &ended) {
-            if (!ended)
-                read();
-        });
-        return;
+        return arrange(readPause_, &LearnedKeeper::read);
     }
     failing_ = false;
     for (const StoreEntry &entry : value(result).entries) {
@@ -69,13 +62,18 @@
     arrangeWrite();
 }
 
-void LearnedKeeper::arrangeWrite()
+void LearnedKeeper::arrange(Milliseconds pause, void (LearnedKeeper::*step)())
 {
-    timer_.expires_after(period);
-    timer_.async_wait([this](const boost::system::error_code &ended) {
+    timer_.expires_after(pause);
+    timer_.async_wait(owner_.guarded([this, step](const boost::system::error_code &ended) {
         if (!ended)
-            write();
-    });
+            (this->*step)();
+    }));
+}
+
+void LearnedKeeper::arrangeWrite()
+{
+    arrange(period, &LearnedKeeper::write);
 }
 
 void LearnedKeeper::write()
@@ -86,9 +84,9 @@
     }
     if (version_)
         return writeAfter(*version_);
-    store_.get(key_, [this](Result<StoreEntry, StoreError> result) {
-        boost::asio::post(io_, [this, result = std::move(result)] { onVersion(result); });
-    });
+    store_.get(key_, owner_.posted<Result<StoreEntry, StoreError>>([this](const auto &result) {
+        onVersion(result);
+    }));
 }
 
 void LearnedKeeper::onVersion(const Result<StoreEntry, StoreError> &result)
@@ -107,20 +105,22 @@
     swap.key = key_;
     swap.expectedVersion = version;
     swap.value = encodeLearnedState(source_.learned());
-    store_.compareAndSwap(swap, [this](Result<std::uint64_t, StoreError> result) {
-        boost::asio::post(io_, [this, result = std::move(result)] {
-            if (isOk(result)) {
-                version_ = value(result);
-                failing_ = false;
-            } else {
-                version_.reset(); // another one wrote, or it is not known
-                if (error(result).failure != StoreFailure::Conflict)
-                    fail("write", enumName(storeFailureNames, error(result).failure),
-                         error(result).detail);
-            }
-            arrangeWrite();
-        });
-    });
+    store_.compareAndSwap(swap,
+                          owner_.posted<Result<std::uint64_t, StoreError>>(
+                                  [this](const auto &result) { onWritten(result); }));
+}
+
+void LearnedKeeper::onWritten(const Result<std::uint64_t, StoreError> &result)
+{
+    if (isOk(result)) {
+        version_ = value(result);
+        failing_ = false;
+    } else {
+        version_.reset(); // another one wrote, or it is not known
+        if (error(result).failure != StoreFailure::Conflict)
+            fail("write", enumName(storeFailureNames, error(result).failure), error(result).detail);
+    }
+    arrangeWrite();
 }
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/learned_keeper.h
+++ b/chestnutvane/process/gateway/learned_keeper.h
@@ -12,7 +12,7 @@
 //   keeper.start();
 //
 // Not thread-safe: everything runs on the io_context's one thread; the callbacks of the store may
-// come from any thread.
+// come from any thread, also after the end of the keeper.
 #pragma once
 
 #include <functional>
@@ -23,6 +23,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "chestnutvane/process/gateway/learned_state.h"
+#include "chestnutvane/process/owner_thread.h"
 #include "chestnutvane/process/store.h"
 
 namespace chestnutvane {
@@ -50,13 +51,14 @@
 private:
     void read();
     void onRead(const Result<WatchResult, StoreError> &result);
+    void arrange(Milliseconds pause, void (LearnedKeeper::*step)());
     void arrangeWrite();
     void write();
     void writeAfter(std::uint64_t version);
     void onVersion(const Result<StoreEntry, StoreError> &result);
+    void onWritten(const Result<std::uint64_t, StoreError> &result);
     void fail(std::string_view what, std::string_view reason, const std::string &detail);
 
-    boost::asio::io_context &io_;
     Store store_;
     std::string prefix_;
     std::string key_;
@@ -65,6 +67,7 @@
     Milliseconds readPause_{0};
     std::optional<std::uint64_t> version_; // of the value in the store, if this instance wrote it
     bool failing_ = false; // logged once until the next success
+    OwnerThread owner_; // destroyed first
 };
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/learned_keeper_test.cc
+++ b/chestnutvane/process/gateway/learned_keeper_test.cc
@@ -82,6 +82,38 @@
     EXPECT_EQ(taken_.front().targets.front().target, 7);
 }
 
+// Guards against an answer to a read that is taken by a keeper which is gone.
+TEST_F(LearnedKeeperTest, AReadThatEndsAfterItsKeeperIsDropped)
+{
+    std::function<void(Result<WatchResult, StoreError>)> answer;
+    const auto readNow = std::exchange(
+            store_.listStale, [&answer](const std::string &, const auto &done) { answer = done; });
+    auto keeper = std::make_unique<LearnedKeeper>(io_, store_, "l/", "here", source(7, true));
+    keeper->start();
+    version_ = 1;
+    value_ = encodeLearnedState(source(8, false).learned());
+    readNow("l/", answer); // before the end of the keeper, taken after it
+    keeper.reset();
+    readNow("l/", answer);
+    io_.run_for(5ms);
+    EXPECT_TRUE(taken_.empty());
+}
+
+// Guards against the answer to a write that is taken by a keeper which is gone. AddressSanitizer
+// found it when a keeper ended between the answer and the next turn of the io_context.
+TEST_F(LearnedKeeperTest, AWriteThatEndsAfterItsKeeperIsDropped)
+{
+    std::function<void(Result<std::uint64_t, StoreError>)> answer;
+    store_.compareAndSwap = [&answer](const CompareAndSwap &, const auto &done) { answer = done; };
+    auto keeper = std::make_unique<LearnedKeeper>(io_, store_, "l/", "here", source(7, true));
+    keeper->start();
+    runUntil([&answer] { return answer != nullptr; });
+    answer(std::uint64_t{2});
+    keeper.reset();
+    io_.restart();
+    EXPECT_EQ(io_.run_for(5ms), 1); // the answer was dropped, and no timer was set
+}
+
 // Guards against an instance that takes the targets of other regions for cold.
 TEST_F(LearnedKeeperTest, AStartTakesWhatAllRegionsLearned)
 {
--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include <boost/asio/post.hpp>
-
 #include "chestnutvane/process/gateway/instance_entry.h"
 #include "chestnutvane/process/log.h"
 
@@ -30,8 +28,9 @@
 
 StoreFeed::StoreFeed(boost::asio::io_context &io, Store store, FeedFormat format, PeerIdentity self,
                      FeedEvents events)
-    : io_(io), store_(std::move(store)), format_(std::move(format)), self_(std::move(self)),
-      events_(std::move(events)), random_(static_cast<std::mt19937::result_type>(self_.incarnation))
+    : store_(std::move(store)), format_(std::move(format)), self_(std::move(self)),
+      events_(std::move(events)),
+      random_(static_cast<std::mt19937::result_type>(self_.incarnation)), owner_(io)
 {
     for (LoopState &loop : loops_)
         loop.timer = std::make_unique<boost::asio::steady_timer>(io);
@@ -48,12 +47,12 @@
 {
     auto &timer = *loops_[indexOf(loop)].timer;
     timer.expires_after(pause);
-    timer.async_wait([this, loop](const boost::system::error_code &ended) {
+    timer.async_wait(owner_.guarded([this, loop](const boost::system::error_code &ended) {
         if (ended)
             return;
         loops_[indexOf(loop)].waitsAfterFailure = false;
         run(loop);
-    });
+    }));
 }
 
 void StoreFeed::run(Loop loop)
@@ -75,14 +74,12 @@
 template <class T, class Take>
 auto StoreFeed::posted(Loop loop, Take take)
 {
-    return [this, loop, take](Result<T, StoreError> result) {
-        boost::asio::post(io_, [this, loop, take, result = std::move(result)]() mutable {
-            if (!isOk(result))
-                return retry(loop, error(result));
-            succeeded(loop);
-            take(value(std::move(result)));
-        });
-    };
+    return owner_.posted<Result<T, StoreError>>([this, loop, take](Result<T, StoreError> result) {
+        if (!isOk(result))
+            return retry(loop, error(result));
+        succeeded(loop);
+        take(value(std::move(result)));
+    });
 }
 
 void StoreFeed::retry(Loop loop, const StoreError &failure)
@@ -146,10 +143,9 @@
         state.callStart = Clock::now();
         state.readStart = BootClock::now();
         const auto &prefix = loop == Loop::Operator ? format_.operatorPrefix : format_.targetPrefix;
-        return store_.list(prefix, [this, loop](Result<WatchResult, StoreError> result) {
-            boost::asio::post(io_,
-                              [this, loop, result = std::move(result)] { onList(loop, result); });
-        });
+        return store_.list(prefix,
+                           owner_.posted<Result<WatchResult, StoreError>>(
+                                   [this, loop](const auto &r) { onList(loop, r); }));
     }
     const Milliseconds limit = isReader_ ? readerPeriod : confirmationLimit;
     const auto dueIn = std::chrono::duration_cast<Milliseconds>(freshness(loop).confirmedAt()
@@ -232,17 +228,9 @@
     }
     if (!entryWritten_)
         return writeEntry();
-    store_.keepAlive(leaseId_, [this](Result<Done, StoreError> result) {
-        boost::asio::post(io_, [this, result = std::move(result)] {
-            if (isOk(result)) {
-                succeeded(Loop::Lease);
-                return after(Loop::Lease, leaseRenewal);
-            }
-            if (error(result).failure == StoreFailure::NotFound)
-                return replaceLease();
-            retry(Loop::Lease, error(result));
-        });
-    });
+    store_.keepAlive(leaseId_, owner_.posted<Result<Done, StoreError>>([this](const auto &result) {
+        onLeaseAnswer(isOk(result) ? std::nullopt : std::optional(error(result)));
+    }));
 }
 
 void StoreFeed::writeEntry()
@@ -253,20 +241,24 @@
             + std::to_string(leaseId_);
     swap.value = encodeInstanceEntry(self_);
     swap.leaseId = leaseId_;
-    store_.compareAndSwap(swap, [this](Result<std::uint64_t, StoreError> result) {
-        boost::asio::post(io_, [this, result = std::move(result)] {
-            const bool alreadyThere =
-                    !isOk(result) && error(result).failure == StoreFailure::Conflict;
-            if (isOk(result) || alreadyThere) {
-                entryWritten_ = true;
-                succeeded(Loop::Lease);
-                return after(Loop::Lease, leaseRenewal);
-            }
-            if (error(result).failure == StoreFailure::NotFound)
-                return replaceLease();
-            retry(Loop::Lease, error(result));
-        });
-    });
+    const auto onWritten = [this](const Result<std::uint64_t, StoreError> &result) {
+        const bool isWritten = isOk(result) || error(result).failure == StoreFailure::Conflict;
+        entryWritten_ = entryWritten_ || isWritten;
+        onLeaseAnswer(isWritten ? std::nullopt : std::optional(error(result)));
+    };
+    store_.compareAndSwap(swap, owner_.posted<Result<std::uint64_t, StoreError>>(onWritten));
+}
+
+// Goes on after a renewal of the lease or a write of the entry, which may have failed.
+void StoreFeed::onLeaseAnswer(const std::optional<StoreError> &failure)
+{
+    if (!failure) {
+        succeeded(Loop::Lease);
+        return after(Loop::Lease, leaseRenewal);
+    }
+    if (failure->failure == StoreFailure::NotFound)
+        return replaceLease();
+    retry(Loop::Lease, *failure);
 }
 
 void StoreFeed::replaceLease()
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store_feed.h
@@ -10,12 +10,13 @@
 //   feed.start();
 //
 // Not thread-safe: everything runs on the io_context's one thread; the callbacks of the store may
-// come from any thread.
+// come from any thread, also after the end of the feed.
 #pragma once
 
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -29,6 +30,7 @@
 #include "chestnutvane/process/gateway/feed_sharing.h"
 #include "chestnutvane/process/gateway/load_report.h"
 #include "chestnutvane/process/gateway/target_registry.h"
+#include "chestnutvane/process/owner_thread.h"
 #include "chestnutvane/process/store.h"
 #include "chestnutvane/version/route_table.h"
 
@@ -153,6 +155,7 @@
     void readInstances();
     template <class T, class Take>
     auto posted(Loop loop, Take take);
+    void onLeaseAnswer(const std::optional<StoreError> &failure);
 
     struct LoopState
     {
@@ -167,7 +170,6 @@
         BootTime changedByPeer; // time of the read behind the last change that was applied
     };
 
-    boost::asio::io_context &io_;
     Store store_;
     FeedFormat format_;
     PeerIdentity self_;
@@ -188,6 +190,7 @@
     TimePoint heardPeer_; // when another instance was heard last
     TimePoint regained_; // when contact was back
     TimePoint started_;
+    OwnerThread owner_; // destroyed first
 };
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/store_feed_test.cc
+++ b/chestnutvane/process/gateway/store_feed_test.cc
@@ -272,5 +272,22 @@
     EXPECT_EQ(known_["other"], wanted);
 }
 
+// Guards against answers of the store that are taken by a feed which is gone.
+TEST_F(StoreFeedTest, AnswersAfterTheEndOfAFeedAreDropped)
+{
+    heldFor_ = "reader";
+    auto feed = makeFeed("reader");
+    feed->start();
+    io_.run_for(5ms);
+    ASSERT_EQ(waiting_.size(), 2);
+    const auto answers = std::exchange(waiting_, {});
+    answers[0].second(answers[0].first); // before the end of the feed, taken after it
+    feed.reset();
+    answers[1].second(answers[1].first);
+    io_.restart();
+    io_.run_for(5ms);
+    EXPECT_TRUE(known_.empty());
+}
+
 } // namespace
 } // namespace chestnutvane
