Stop requests that crash targets at the gateway

A request that ends each process which begins to run it comes again from its caller, to any instance; the gateway sent it to one target after the other. The brokers count such crashes (crash_suspects), the gateway did not.

CrashWatch charges the requests that were lost at a target when that target refuses a connection, has started again, or is gone from the list without having drained. An answer clears a request. After three crashes in the fleet it is refused as not run. Counts go with the reports that hold names, new ones for three seconds. CrashSuspects keeps the counts, as for the brokers; the way of running a suspect alone is not used (docs/platform.md).

Ruled out: a lost connection as proof of a crash. Lost and garbled answers would then charge sound requests.

Tests: crash_watch_test plays six instances and 20 targets for a minute: 60 targets ended without the limit, at most 3 with it, no other request refused.

Children of tests inherited the sockets of the test, so that a target could not listen again ("Address already in use"): spawnProgram() closes them.

--- /dev/null
+++ b/chestnutvane/process/gateway/crash_watch_test.cc
@@ -0,0 +1,165 @@
+#include "chestnutvane/process/gateway/crash_watch.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <random>
+
+namespace chestnutvane {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t request = 7;
+const TimePoint start{1h};
+
+class CrashWatchTest : public ::testing::Test
+{
+protected:
+    static void crash(CrashWatch &watch, std::uint64_t target, TimePoint now)
+    {
+        watch.onLost(request, target, now);
+        watch.onDown(target, now + 400ms);
+    }
+
+    CrashWatch one_{{1, 1}, "south"};
+    CrashWatch two_{{2, 1}, "north"};
+};
+
+// Guards against a request that takes down the targets of a service one after the other.
+TEST_F(CrashWatchTest, ARequestThatEndsThreeTargetsIsNotSentAgain)
+{
+    crash(one_, 1, start);
+    crash(one_, 2, start + 1s);
+    EXPECT_TRUE(one_.mayBeSent(request, start + 2s));
+    crash(one_, 3, start + 2s);
+    EXPECT_FALSE(one_.mayBeSent(request, start + 3s));
+    EXPECT_TRUE(one_.mayBeSent(request + 1, start + 3s));
+}
+
+// Guards against requests that are refused because connections or answers were lost on the way.
+TEST_F(CrashWatchTest, ALostConnectionToATargetThatGoesOnIsNoCrash)
+{
+    for (std::uint64_t target = 1; target <= 5; ++target)
+        one_.onLost(request, target, start);
+    EXPECT_TRUE(one_.isEmpty());
+    // A later end of the target has another cause.
+    EXPECT_TRUE(one_.onDown(1, start + 11s).empty());
+    one_.expire(start + 11s);
+    for (std::uint64_t target = 2; target <= 5; ++target)
+        EXPECT_TRUE(one_.onDown(target, start + 11s).empty());
+    EXPECT_TRUE(one_.mayBeSent(request, start + 11s));
+}
+
+// Guards against requests that are refused because they were at targets which other requests or
+// other faults ended.
+TEST_F(CrashWatchTest, ARequestThatIsAnsweredIsCleared)
+{
+    crash(one_, 1, start);
+    crash(one_, 2, start + 1s);
+    one_.onAnswered(request, start + 2s);
+    crash(one_, 3, start + 3s);
+    EXPECT_TRUE(one_.mayBeSent(request, start + 4s));
+}
+
+// Guards against a caller that sends such a request to another instance each time.
+TEST_F(CrashWatchTest, CrashesSeenByDifferentInstancesCountTogether)
+{
+    crash(one_, 1, start);
+    crash(two_, 2, start);
+    crash(two_, 3, start + 1s);
+    one_.merge(two_.news(start + 2s), start + 2s);
+    one_.merge(two_.news(start + 2s), start + 2s); // a report may come twice
+    EXPECT_FALSE(one_.mayBeSent(request, start + 2s));
+    EXPECT_TRUE(two_.mayBeSent(request, start + 2s));
+    two_.merge(one_.news(start + 2s), start + 2s);
+    EXPECT_FALSE(two_.mayBeSent(request, start + 2s));
+}
+
+// Guards against an answer on one instance that leaves the request charged on the others.
+TEST_F(CrashWatchTest, AnAnswerClearsOnAllInstances)
+{
+    crash(one_, 1, start);
+    crash(two_, 2, start);
+    one_.merge(two_.news(start + 1s), start + 1s);
+    one_.onAnswered(request, start + 2s);
+    two_.merge(one_.news(start + 2s), start + 2s);
+    crash(two_, 3, start + 3s);
+    crash(two_, 4, start + 4s);
+    EXPECT_TRUE(two_.mayBeSent(request, start + 5s));
+    crash(two_, 5, start + 5s);
+    EXPECT_FALSE(two_.mayBeSent(request, start + 6s));
+}
+
+// Guards against reports that carry each crash of the last ten minutes, which would cost most of
+// the traffic between instances, and against an instance that misses one report.
+TEST_F(CrashWatchTest, ASingleCrashIsToldForThreeSeconds)
+{
+    crash(one_, 1, start);
+    EXPECT_EQ(one_.news(start + 2s).size(), 1);
+    EXPECT_TRUE(one_.news(start + 4s).empty());
+    crash(one_, 2, start + 10s);
+    EXPECT_EQ(one_.news(start + 30s).size(), 1); // one more would stop it
+    one_.expire(start + 12min);
+    EXPECT_TRUE(one_.isEmpty());
+}
+
+// Plays a fleet of six instances over 20 targets for a minute. One caller sends a request that ends
+// each target which runs it, in turn to each instance, and others send requests of which four are
+// at a target when it ends. Reports between the instances take a second.
+struct CrashPlay
+{
+    static constexpr std::size_t instances = 6;
+    static constexpr std::uint64_t targets = 20;
+
+    explicit CrashPlay(bool isLimited)
+    {
+        std::vector<CrashWatch> watches;
+        for (std::size_t i = 0; i < instances; ++i)
+            watches.push_back(CrashWatch({i + 1, 1}, i % 2 == 0 ? "south" : "north"));
+        std::mt19937 random(42);
+        std::uniform_int_distribution<std::uint64_t> anyTarget(1, targets);
+        std::uniform_int_distribution<std::uint64_t> anyOther(100, 100 + 400);
+        constexpr int seconds = 60;
+        for (int second = 0; second < seconds; ++second) {
+            const TimePoint now = start + std::chrono::seconds(second);
+            CrashWatch &watch = watches[static_cast<std::size_t>(second) % instances];
+            if (!isLimited || watch.mayBeSent(request, now)) {
+                ++crashes;
+                const std::uint64_t target = anyTarget(random);
+                watch.onLost(request, target, now);
+                constexpr int atTarget = 4;
+                for (int i = 0; i < atTarget; ++i)
+                    watch.onLost(anyOther(random), target, now);
+                watch.onDown(target, now + 400ms);
+            }
+            constexpr int served = 100;
+            for (int i = 0; i < served; ++i) {
+                const std::uint64_t other = anyOther(random);
+                CrashWatch &at = watches[static_cast<std::size_t>(i) % instances];
+                othersRefused += at.mayBeSent(other, now + 500ms) ? 0 : 1;
+                at.onAnswered(other, now + 500ms);
+            }
+            for (const CrashWatch &from : watches) {
+                for (CrashWatch &to : watches)
+                    to.merge(from.news(now + 900ms), now + 900ms);
+            }
+        }
+    }
+
+    int crashes = 0;
+    int othersRefused = 0;
+};
+
+// Guards against a service that loses a target a second to one request, and against callers of
+// sound requests that pay for it.
+TEST(CrashPlayTest, OneRequestEndsThreeTargetsAndNoOtherIsRefused)
+{
+    const CrashPlay limited(true);
+    EXPECT_LE(limited.crashes, 3);
+    EXPECT_EQ(limited.othersRefused, 0);
+    EXPECT_EQ(CrashPlay(false).crashes, 60); // each time that it is sent
+}
+
+} // namespace
+} // namespace chestnutvane
--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -148,6 +148,7 @@
     const PeerIdentity sender = load.sender;
     const auto warm = load.warm;
     gateway_.noteWarm(warm);
+    gateway_.noteCrashes(load.crashes);
     if (gateway_.fleet().merge(std::move(load), now)) {
         addPeer(sender);
         if (isNew)
@@ -197,6 +198,8 @@
     report.change = change;
     const TimePoint now = Clock::now();
     const bool withNames = now - receiver.namesSent >= namesPeriod || state_ != receiver.stateSent;
+    if (withNames)
+        report.crashes = gateway_.crashNews();
     const std::string datagram =
             encodeReport(report, withNames ? IdentityPart::Full : IdentityPart::Incarnation);
     if (withNames)
--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <random>
 #include <tuple>
 
 #include <boost/asio/post.hpp>
@@ -32,6 +33,12 @@
     return found == request.end() ? std::string() : std::string(found->value());
 }
 
+// Counts of an earlier start of the instance are those of another counter.
+HolderId newCounter(const std::string &instanceId)
+{
+    return {hash64(instanceId), std::random_device{}()};
+}
+
 // Late requests go last: they take no slot from one that can still meet its aim.
 auto queueOrder(const PendingRequest &pending, TimePoint now)
 {
@@ -42,7 +49,8 @@
 
 Gateway::Gateway(net::io_context &io, const GatewaySettings &settings, Metrics &metrics)
     : io_(io), settings_(settings), metrics_(metrics), region_(settings.regionOf(settings.zone)),
-      registry_(settings.zoneRegions), lookTimer_(io)
+      registry_(settings.zoneRegions), lookTimer_(io),
+      crashes_(newCounter(settings.instanceId), region_)
 { }
 
 void Gateway::handle(Call call)
@@ -75,6 +83,8 @@
             onLimit(pending);
     });
     retryWindow(pending->service).onRequest(pending->call.arrival);
+    if (isCrashSuspect(*pending))
+        return refuse(pending, "crash-suspect", longestRetryAfter);
     enqueue(pending);
     pump(pending->service, LookScope::Concerned);
 }
@@ -214,6 +224,7 @@
     }
     pool_.expire(Clock::now());
     fleet_.expire(Clock::now());
+    crashes_.expire(Clock::now());
     metrics_.set("vane_gateway_pending_requests", {}, static_cast<double>(pending_));
     reconsider();
 }
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -28,6 +29,7 @@
 
 #include "chestnutvane/connection/caller_connection.h"
 #include "chestnutvane/connection/target_exchange.h"
+#include "chestnutvane/process/gateway/crash_watch.h"
 #include "chestnutvane/process/gateway/gateway_settings.h"
 #include "chestnutvane/process/gateway/learned_state.h"
 #include "chestnutvane/process/gateway/load_report.h"
@@ -118,6 +120,13 @@
     // What this instance has learned of the targets of its region, and of run times.
     [[nodiscard]] LearnedState learned() const;
 
+    // A target has ended without having drained: it started again, or is not registered any more.
+    void onTargetEnded(const std::string &id) { chargeLost(reportKey(hash64(id))); }
+
+    // Crashes of targets that requests are charged with, for reports, and those of a report.
+    [[nodiscard]] std::vector<CrashCount> crashNews() const { return crashes_.news(Clock::now()); }
+    void noteCrashes(std::span<const CrashCount> counts) { crashes_.merge(counts, Clock::now()); }
+
     // Starts from what instances learned before. What this one has learned itself stays; targets
     // that have started again since are left out.
     void takeLearned(const LearnedState &state);
@@ -175,10 +184,15 @@
     void onAnswer(const Pending &pending, TargetAnswer answer, Duration run);
     void onFailure(const Pending &pending, const ExchangeError &failure, bool reused);
     void release(const Pending &pending);
+    [[nodiscard]] static std::uint64_t identityOf(const PendingRequest &pending);
+    [[nodiscard]] bool isCrashSuspect(const PendingRequest &pending) const;
+    void chargeLost(std::uint64_t target);
     void blame(Target &target, const ExchangeError &failure, bool reused, TimePoint now);
     // Sends the request again if it may be; otherwise answers it.
     void retryOrAnswer(const Pending &pending, std::string_view reason);
     void deliver(const Pending &pending, HttpResponseMessage message, std::string_view outcome);
+    // Refusals tell the caller to come back after this time at the latest.
+    static constexpr Milliseconds longestRetryAfter{1500};
     void refuse(const Pending &pending, std::string_view reason, Duration retryAfter);
     void answerOwn(const Pending &pending, http::status status, std::string_view reason);
     void finish(const Pending &pending, HttpResponseMessage message);
@@ -203,6 +217,7 @@
     net::steady_timer lookTimer_;
     bool lookArranged_ = false;
     TimePoint nextLook_; // earliest time of the next look by reconsiderLater()
+    CrashWatch crashes_;
     std::map<std::string, RetryWindow> retryWindows_;
     std::unordered_map<std::uint64_t, SlidingCount> coldSends_; // by target hash
     std::map<std::string, KeptObjects> kept_; // by service
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -4,6 +4,7 @@
 
 #include "chestnutvane/process/gateway/gateway.h"
 #include "chestnutvane/process/log.h"
+#include "chestnutvane/request/fingerprint.h"
 
 namespace chestnutvane {
 namespace {
@@ -37,7 +38,6 @@
 // Refusals tell the caller to come back within these bounds.
 constexpr Milliseconds atOnce{10};
 constexpr Milliseconds shortestRetryAfter{10};
-constexpr Milliseconds longestRetryAfter{1500};
 
 std::int64_t toMilliseconds(Duration duration)
 {
@@ -109,6 +109,7 @@
               {"target", target->entry.id},
               {"region", target->region},
               {"revision", pending->table->revision()},
+              {"object", pending->object},
               {"warm", candidate.warm ? 1 : 0},
               {"load", candidate.load},
               {"slots", candidate.slots},
@@ -187,6 +188,8 @@
         return retryOrAnswer(pending, isFull ? "target-full" : "target-refused");
     }
     ++pending->runs;
+    if (!crashes_.isEmpty())
+        crashes_.onAnswered(identityOf(*pending), now);
     if (target.failuresInRow > 0)
         target.failuresInRow = 0;
     fadeIn(target.failureRate, status >= firstFailureStatus ? 1 : 0, failureWeight);
@@ -221,10 +224,45 @@
     } else {
         ++pending->connectFailures;
     }
+    if (failure.failure == ExchangeFailure::ConnectionLost && reached)
+        crashes_.onLost(identityOf(*pending), pending->target->hash, now);
+    else if (failure.failure == ExchangeFailure::ConnectFailed)
+        chargeLost(pending->target->hash); // its process does not listen any more
     blame(*pending->target, failure, reused, now);
     retryOrAnswer(pending, enumName(exchangeFailureNames, failure.failure));
 }
 
+// Identifies what a caller asks for, also when it asks again. The caller counts, so that those who
+// ask for the same page do not answer for each other.
+std::uint64_t Gateway::identityOf(const PendingRequest &pending)
+{
+    const HttpRequestMessage &request = *pending.call.request;
+    const auto text = [](const auto &view) { return std::string_view(view.data(), view.size()); };
+    const Fingerprint print = fingerprint({.service = text(request[http::field::host]),
+                                           .method = text(request.method_string()),
+                                           .path = text(request.target()),
+                                           .body = {request.body().data(), request.body().size()}});
+    const std::string_view caller(pending.call.peer);
+    return hash64(caller.substr(0, caller.rfind(':')), print.low);
+}
+
+bool Gateway::isCrashSuspect(const PendingRequest &pending) const
+{
+    return !crashes_.isEmpty() && !crashes_.mayBeSent(identityOf(pending), Clock::now());
+}
+
+// Charges the requests that were lost at a target with its crash.
+void Gateway::chargeLost(std::uint64_t target)
+{
+    const auto known = registry_.findByHash(target);
+    for (const std::uint64_t request : crashes_.onDown(target, Clock::now())) {
+        logEvent(Event::CrashCharged,
+                 {{"service", known ? known->entry.service : std::string()},
+                  {"target", known ? known->entry.id : std::string()},
+                  {"fingerprint", request}});
+    }
+}
+
 void Gateway::blame(Target &target, const ExchangeError &failure, bool reused, TimePoint now)
 {
     fadeIn(target.failureRate, 1, failureWeight);
@@ -256,7 +294,8 @@
     const bool triedNow = reason != "no-room" && reason != "no-target";
     const bool attemptsLeft = std::max(pending->runs, pending->arrivals) < route.maxAttempts
             && pending->connectFailures < maxConnectFailures;
-    if (triedNow && mayRepeat && attemptsLeft && now < pending->limitAt) {
+    if (triedNow && mayRepeat && attemptsLeft && now < pending->limitAt
+        && !isCrashSuspect(*pending)) {
         const bool needsBudget = pending->arrivals > 0;
         if (!needsBudget || retryWindow(pending->service).take(now, fleet_.peers().size() + 1)) {
             metrics_.increment("vane_gateway_retries_total", {{"reason", std::string(reason)}});
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -131,10 +131,13 @@
         gateway_.reconsider();
     };
     events.onTargets = [this](const std::vector<TargetEntry> &targets, RemovalPolicy removals) {
-        for (const auto &[id, news] :
-             gateway_.registry().replaceAll(targets, Clock::now(), removals))
+        for (const auto &[id, news, planned] :
+             gateway_.registry().replaceAll(targets, Clock::now(), removals)) {
             logEvent(Event::TargetChanged,
                      {{"target", id}, {"what", enumName(targetNewsNames, news)}});
+            if (news == TargetNews::Restarted || (news == TargetNews::Removed && !planned))
+                gateway_.onTargetEnded(id);
+        }
         targetsKnown_ = targetsKnown_ || gateway_.registry().size() > 0;
         takeLearned();
         updateState();
--- a/chestnutvane/process/gateway/load_report.cc
+++ b/chestnutvane/process/gateway/load_report.cc
@@ -30,6 +30,35 @@
     return counts;
 }
 
+Json encodeCrashes(const std::vector<CrashCount> &crashes)
+{
+    Json list = Json::array();
+    for (const CrashCount &count : crashes) {
+        const auto age = std::chrono::duration_cast<Milliseconds>(count.age);
+        list.push_back(
+                Json::array({count.counter.high, count.counter.low, count.region, count.fingerprint,
+                             count.crashes, count.cleared, age.count(), count.generation}));
+    }
+    return list;
+}
+
+std::vector<CrashCount> decodeCrashes(const Json &list)
+{
+    std::vector<CrashCount> crashes;
+    for (const Json &item : list) {
+        CrashCount count;
+        count.counter = {item.at(0), item.at(1)};
+        count.region = item.at(2);
+        count.fingerprint = item.at(3);
+        count.crashes = item.at(4);
+        count.cleared = item.at(5);
+        count.age = Milliseconds(item.at(6).get<Milliseconds::rep>());
+        count.generation = item.at(7);
+        crashes.push_back(std::move(count));
+    }
+    return crashes;
+}
+
 } // namespace
 
 std::string encodeReport(const LoadReport &report, IdentityPart part)
@@ -51,8 +80,10 @@
                              report.targetsFeed.age.count(), report.operatorFeed.fingerprint,
                              report.operatorFeed.age.count()});
     // Older instances do not look at what follows the fields that they know.
-    if (!report.change.empty())
+    if (!report.change.empty() || !report.crashes.empty())
         list.push_back(Json::binary({report.change.begin(), report.change.end()}));
+    if (!report.crashes.empty())
+        list.push_back(encodeCrashes(report.crashes));
     std::string text;
     Json::to_cbor(list, text);
     return text;
@@ -89,6 +120,8 @@
             const auto &bytes = list.at(changeAt).get_binary();
             report.change.assign(bytes.begin(), bytes.end());
         }
+        if (list.size() > changeAt + 1)
+            report.crashes = decodeCrashes(list.at(changeAt + 1));
         return report;
     } catch (const Json::exception &failure) {
         return ReportError{failure.what()};
--- a/chestnutvane/process/gateway/load_report.h
+++ b/chestnutvane/process/gateway/load_report.h
@@ -25,6 +25,7 @@
 #include "chestnutvane/base/enum_names.h"
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/base/time.h"
+#include "chestnutvane/process/crash_suspects.h"
 #include "chestnutvane/process/gateway/feed_sharing.h"
 
 namespace chestnutvane {
@@ -76,6 +77,7 @@
     std::map<std::uint64_t, int> queued; // waiting requests by hash of the service
     std::vector<WarmNote> warm; // since the last report to the receiver
     std::string change; // that led to the content of a status, encoded (feed_change.h); once
+    std::vector<CrashCount> crashes; // news of requests that crash targets
 
     friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
--- a/chestnutvane/process/gateway/load_report_test.cc
+++ b/chestnutvane/process/gateway/load_report_test.cc
@@ -24,6 +24,7 @@
     result.queued = {{5, 2}};
     result.warm = {{1, 100}, {2, 200}};
     result.change = std::string("\xff\x00\x01", 3);
+    result.crashes = {{{1, 2}, "taipei", 77, 3, 1, Milliseconds(1500), 1}};
     return result;
 }
 
@@ -36,6 +37,16 @@
     EXPECT_EQ(value(received), sent);
 }
 
+// Guards against crash counts that are read as a change, or lost, in a report without a change.
+TEST(LoadReportTest, AReportMayHoldCrashesWithoutAChange)
+{
+    LoadReport sent = report("a", 9, {});
+    sent.change.clear();
+    const auto received = decodeReport(encodeReport(sent));
+    ASSERT_TRUE(isOk(received));
+    EXPECT_EQ(value(received), sent);
+}
+
 // Guards against names in every report, which made reports most of the traffic between instances,
 // and against a report that loses more than the names.
 TEST(LoadReportTest, AReportWithoutNamesHasAllElse)
--- a/chestnutvane/process/gateway/target_registry.cc
+++ b/chestnutvane/process/gateway/target_registry.cc
@@ -115,7 +115,7 @@
             continue;
         }
         it->second->removed = true;
-        changes.push_back({it->first, TargetNews::Removed});
+        changes.push_back({it->first, TargetNews::Removed, it->second->entry.draining});
         it = byId_.erase(it);
     }
     rebuildIndex();
--- a/chestnutvane/process/gateway/target_registry.h
+++ b/chestnutvane/process/gateway/target_registry.h
@@ -123,6 +123,7 @@
 {
     std::string targetId;
     TargetNews news = TargetNews::Added;
+    bool planned = false; // the target was draining before
 };
 
 class TargetRegistry
--- a/testing/spawn.cc
+++ b/testing/spawn.cc
@@ -19,6 +19,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A child that inherited the sockets of its parent would keep their ports open.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     pid_t pid = 0;
     const int failure = posix_spawn(&pid, argv.front(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
