--- a/chestnutvane/process/gateway/crash_watch.cc
+++ b/chestnutvane/process/gateway/crash_watch.cc
@@ -72,6 +72,13 @@
         const bool isNew = changed != changed_.end() && now - changed->second < newsPeriod;
         return !isNew && crashes[count.fingerprint] < toldCrashes;
     });
+    // The requests nearest to the limit go first.
+    std::stable_sort(counts.begin(), counts.end(),
+                     [&crashes](const CrashCount &a, const CrashCount &b) {
+                         return crashes[a.fingerprint] > crashes[b.fingerprint];
+                     });
+    if (counts.size() > maxNews)
+        counts.resize(maxNews);
     return counts;
 }
 
--- a/chestnutvane/process/gateway/crash_watch.h
+++ b/chestnutvane/process/gateway/crash_watch.h
@@ -37,6 +37,10 @@
     // requests that were at the same targets are charged too, so a lower one would refuse them.
     static constexpr std::uint32_t crashLimit = 3;
 
+    // Counts in one report; about 60 bytes each, so that they fit into a datagram of an Ethernet
+    // frame with the rest of a report.
+    static constexpr std::size_t maxNews = 15;
+
     CrashWatch(const HolderId &counter, std::string region);
 
     // An attempt of a request at a target ended without an answer.
@@ -54,7 +58,7 @@
     [[nodiscard]] bool isEmpty() const { return changed_.empty(); }
 
     // What other instances are to be told: counts that have changed lately, and those of requests
-    // that may reach the limit.
+    // that may reach the limit; at most maxNews.
     [[nodiscard]] std::vector<CrashCount> news(TimePoint now) const;
 
     // Takes what another instance told.
--- a/chestnutvane/process/gateway/crash_watch_test.cc
+++ b/chestnutvane/process/gateway/crash_watch_test.cc
@@ -104,6 +104,20 @@
     EXPECT_TRUE(one_.isEmpty());
 }
 
+// Guards against reports that do not fit into a datagram after many targets ended at once, and
+// against a request near the limit that is left out of them.
+TEST_F(CrashWatchTest, ManyCrashesAtOnceAreToldInPart)
+{
+    for (std::uint64_t other = 100; other < 200; ++other)
+        one_.onLost(other, 1, start);
+    one_.onDown(1, start);
+    crash(one_, 2, start);
+    crash(one_, 3, start);
+    const auto news = one_.news(start + 1s);
+    ASSERT_EQ(news.size(), CrashWatch::maxNews);
+    EXPECT_EQ(news.front().fingerprint, request);
+}
+
 // Plays a fleet of six instances over 20 targets for a minute. One caller sends a request that ends
 // each target which runs it, in turn to each instance, and others send requests of which four are
 // at a target when it ends. Reports between the instances take a second.
