--- a/chestnutvane/process/gateway/load_report_test.cc
+++ b/chestnutvane/process/gateway/load_report_test.cc
@@ -4,6 +4,8 @@
 
 #include <random>
 
+#include "chestnutvane/process/gateway/crash_watch.h"
+
 namespace chestnutvane {
 namespace {
 
@@ -47,6 +49,18 @@
     EXPECT_EQ(value(received), sent);
 }
 
+// Guards against crash counts that make a report too large for one datagram of an Ethernet frame.
+TEST(LoadReportTest, AReportWithAllItsCrashCountsFitsIntoADatagram)
+{
+    constexpr std::size_t payload = 1472; // of UDP over IPv4 in a frame of 1500 bytes
+    constexpr std::uint64_t large = ~std::uint64_t{0};
+    LoadReport sent = report("front-tpe-a-1", 1'000'000, {});
+    sent.change.clear();
+    sent.crashes.assign(CrashWatch::maxNews,
+                        {{large, large}, "kaohsiung", large, 70'000, 70'000, 10min, 70'000});
+    EXPECT_LE(encodeReport(sent).size(), payload);
+}
+
 // Guards against names in every report, which made reports most of the traffic between instances,
 // and against a report that loses more than the names.
 TEST(LoadReportTest, AReportWithoutNamesHasAllElse)
