Put a price on slot time while slots are scarce

Cause: placement minimised the time to the answer of each request alone. With all targets busy, a run on a target that does not hold the object looks as near as a wait for one that does, but takes four times the slot time. Class: overload that sustains itself, as more load makes each request dearer. Each candidate now pays for its run time with a weight that grows with the use of the region's slots.

Ruled out: lost knowledge after the restart (91% of the first attempts went to targets that hold the object) and retries (23% of arrivals were refused, few were repeats).

The uncapped use of a target's queue was tried first and counted a long queue at one target as scarcity beside an idle one (AFreeColdTargetWinsOverALongQueue failed).

--- a/chestnutvane/process/gateway/placement.cc
+++ b/chestnutvane/process/gateway/placement.cc
@@ -21,9 +21,32 @@
     return candidate.load + candidate.queueLength < candidate.slots;
 }
 
+Seconds runTime(const Candidate &candidate, const WorkEstimate &work)
+{
+    return Seconds(candidate.warm ? work.warm : work.cold) * candidate.runTimeFactor;
+}
+
+// Returns the price of slot time in the region, in seconds of response time per second of run time.
+double slotTimePrice(std::span<const Candidate> candidates, const PlacementSettings &settings)
+{
+    double used = 0;
+    double slots = 0;
+    for (const Candidate &candidate : candidates) {
+        if (!candidate.sameRegion)
+            continue;
+        used += std::min<double>(candidate.load + candidate.queueLength, candidate.slots);
+        slots += candidate.slots;
+    }
+    const double utilization = slots > 0 ? used / slots : 1;
+    const double scarcity =
+            (utilization - settings.scarcityThreshold) / (1 - settings.scarcityThreshold);
+    return settings.maxSlotTimePrice * std::clamp(scarcity, 0.0, 1.0);
+}
+
 // Returns the score of a candidate, in seconds; the lowest is the best.
 double score(const Candidate &candidate, const WorkEstimate &work, const PlacementLimits &limits,
-             const PlacementSettings &settings, Duration expectedResponseTime, bool canServe)
+             const PlacementSettings &settings, double slotPrice, Duration expectedResponseTime,
+             bool canServe)
 {
     // A failed attempt is retried at another target, so the expected time grows with the failure
     // rate. The cap keeps the scores of targets that always fail finite and comparable.
@@ -31,6 +54,7 @@
     double score = Seconds(expectedResponseTime).count()
             / (1 - std::min(candidate.failureRate, maxFailureRate));
     score += Seconds(work.cold).count() * settings.affinityRankShare * candidate.affinityRank;
+    score += runTime(candidate, work).count() * slotPrice;
     if (!candidate.sameRegion)
         score += Seconds(settings.crossRegionCost).count()
                 + Seconds(settings.crossRegionCostPerKilobyte).count() * work.bodyKilobytes;
@@ -63,7 +87,7 @@
 
 Duration estimateResponseTime(const Candidate &candidate, const WorkEstimate &work)
 {
-    const Seconds run = Seconds(candidate.warm ? work.warm : work.cold) * candidate.runTimeFactor;
+    const Seconds run = runTime(candidate, work);
     Seconds queueTime{0};
     if (!hasFreeSlot(candidate)) {
         const double queuePosition = candidate.load + candidate.queueLength - candidate.slots + 1;
@@ -77,6 +101,7 @@
 {
     const Duration latestResponseTime =
             toDuration(Seconds(limits.timeToDeadline) * settings.usableTimeShare);
+    const double slotPrice = slotTimePrice(candidates, settings);
     Placement best;
     double bestScore = std::numeric_limits<double>::infinity();
     for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -84,8 +109,8 @@
         const Duration expectedResponseTime = estimateResponseTime(candidate, work);
         const bool canSend = hasFreeSlot(candidate) && candidate.sendAllowed;
         const bool inTime = !work.measured || expectedResponseTime <= latestResponseTime;
-        const double candidateScore =
-                score(candidate, work, limits, settings, expectedResponseTime, canSend && inTime);
+        const double candidateScore = score(candidate, work, limits, settings, slotPrice,
+                                            expectedResponseTime, canSend && inTime);
         if (candidateScore >= bestScore)
             continue;
         bestScore = candidateScore;
--- a/chestnutvane/process/gateway/placement.h
+++ b/chestnutvane/process/gateway/placement.h
@@ -74,6 +74,11 @@
     // an upload of 60 kB leaves its region only if it would otherwise be late.
     Duration crossRegionCost = std::chrono::milliseconds(15);
     Duration crossRegionCostPerKilobyte = std::chrono::milliseconds(3);
+    // Price of slot time while slots are scarce: the run time is added to the score with a weight
+    // that grows from 0 at scarcityThreshold to maxSlotTimePrice at full use of the slots. Without
+    // it, cold runs displace several warm ones each, so an overload would sustain itself.
+    double maxSlotTimePrice = 2;
+    double scarcityThreshold = 0.7; // share of the region's slots in use or waited for
     // Added to the score if the response is expected after the latency aim.
     Duration latenessPenalty = std::chrono::milliseconds(200);
 };
