Let only an instance's own reads confirm the content of others

Cause: instances relay confirmations of their content with its age. Each relay makes the content look newer by the time that a report takes beyond the allowance of 30 ms. Instances of a tenth of a core that have no processor time to spare take longer, so content was confirmed in a circle and nobody of the region read the store. Class: an age that is passed on over paths of unknown duration. Reports now carry the age of the sender's own last read, so that a long way makes one read look newer once.

The test has two instances that exchange statuses with 31, 120 and 500 ms on the way; it failed for 120 and 500 ms before.

OnlyTheReaderConfirms replaces AConfirmationKeepsTheAgeOfTheRead, which expected that a relayed confirmation counts. It holds the same two times exactly; the third instance must now keep that of its own read.

--- a/chestnutvane/process/gateway/feed_content.h
+++ b/chestnutvane/process/gateway/feed_content.h
@@ -24,7 +24,7 @@
 struct PrefixContent
 {
     WatchResult list;
-    Milliseconds age{0}; // since the start of the read that returned or confirmed the content
+    Milliseconds age{0}; // upper bound of the time since the content was read from the store
 };
 
 struct FeedContent
--- a/chestnutvane/process/gateway/feed_sharing.cc
+++ b/chestnutvane/process/gateway/feed_sharing.cc
@@ -6,11 +6,12 @@
 
 namespace chestnutvane {
 
-void FeedFreshness::onContentRead(BootTime start, std::uint64_t fingerprint)
+void FeedFreshness::onContentRead(BootTime start, std::uint64_t fingerprint, ContentSource source)
 {
     fingerprint_ = fingerprint;
     confirmedAt_ = std::max(confirmedAt_, start);
-    lastRead_ = start;
+    if (source == ContentSource::Store)
+        ownReadAt_ = start;
     outdated_ = false;
 }
 
@@ -36,7 +37,7 @@
 
 FeedStatus FeedFreshness::status(BootTime now) const
 {
-    return {fingerprint_, std::chrono::duration_cast<Milliseconds>(now - confirmedAt_)};
+    return {fingerprint_, std::chrono::duration_cast<Milliseconds>(now - ownReadAt_)};
 }
 
 bool isReadDue(const FeedFreshness &freshness, bool isReader, BootTime now)
--- a/chestnutvane/process/gateway/feed_sharing.h
+++ b/chestnutvane/process/gateway/feed_sharing.h
@@ -4,8 +4,10 @@
 // Store calls are charged, so their cost would grow with the fleet. Therefore one instance in each
 // region, the reader, reads often and reports a fingerprint of the content and the age of the read.
 // A matching fingerprint confirms an instance's own content; a different one makes the instance
-// read once. An instance without a confirmation within confirmationTimeout reads by itself, so the
-// death, a pause or a partition of the reader delays updates by that time at most.
+// read once. Only an instance's own reads confirm the content of others; confirmations are not
+// relayed, as each relay would make the content look newer by the time that reports take. An
+// instance without a confirmation within confirmationTimeout reads by itself, so the death, a pause
+// or a partition of the reader delays updates by that time at most.
 //
 // Example:
 //
@@ -32,25 +34,32 @@
 struct FeedStatus
 {
     std::uint64_t fingerprint = 0; // of the content; 0: no content
-    Milliseconds age{0}; // since the start of the read that returned or confirmed the content
+    Milliseconds age{0}; // since the start of the instance's own last read of the store
 
     friend bool operator==(const FeedStatus &, const FeedStatus &) = default;
 };
 
-// Upper bound of the time from sending a report to processing it, within a region.
+// Where content comes from.
+enum class ContentSource {
+    Store, // a read of this instance
+    Peer, // a read of a peer, passed on by it
+};
+
+// Usual upper bound of the time from sending a report to processing it, within a region.
 inline constexpr Milliseconds maxReportTransit{30};
 
 // Tracks how current an instance's content of one prefix is.
 class FeedFreshness
 {
 public:
-    // Records that a read which started at `start`, by this instance or by a peer, returned the
-    // current content, with the given fingerprint.
-    void onContentRead(BootTime start, std::uint64_t fingerprint);
+    // Records that a read which started at `start` returned the current content, with the given
+    // fingerprint.
+    void onContentRead(BootTime start, std::uint64_t fingerprint,
+                       ContentSource source = ContentSource::Store);
 
     // Compares the content with the status of a peer in the same region. The status is assumed to
-    // be maxReportTransit older than it says: instances relay confirmations, and without the
-    // allowance each hop would make the content look newer by the transit time.
+    // be maxReportTransit older than it says. A longer transit makes the peer's read look newer by
+    // the rest, but only once.
     void onPeerStatus(const FeedStatus &status, BootTime now);
 
     // Whether a change from the fingerprint `from`, read by a peer at `readAt`, starts from this
@@ -60,7 +69,7 @@
     // Makes a read due at once, because the content is known to differ from the newest.
     void markOutdated() { outdated_ = true; }
 
-    // The status to send in reports.
+    // The status to send in reports, with the age of this instance's own last read.
     [[nodiscard]] FeedStatus status(BootTime now) const;
 
     // The latest time at which the content is known to have matched the store.
@@ -72,13 +81,10 @@
     // Whether a peer has read different content since this instance's content was last confirmed.
     [[nodiscard]] bool isOutdated() const { return outdated_; }
 
-    // Start of the last read that was recorded.
-    [[nodiscard]] BootTime lastRead() const { return lastRead_; }
-
 private:
     std::uint64_t fingerprint_ = 0;
     BootTime confirmedAt_;
-    BootTime lastRead_;
+    BootTime ownReadAt_; // start of this instance's last read of the store
     bool outdated_ = false;
 };
 
@@ -115,11 +121,11 @@
 struct ReaderCandidate
 {
     std::string id;
-    Milliseconds age{0}; // of its content
+    Milliseconds age{0}; // since its last read of the store
 };
 
 // Whether the instance `self` is the reader of its region. The reader is the instance with the
-// lowest hash of its id among those whose content is younger than confirmationTimeout.
+// lowest hash of its id among those that read the store within confirmationTimeout.
 bool isReader(const std::string &self, const std::vector<ReaderCandidate> &others);
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/feed_sharing_test.cc
+++ b/chestnutvane/process/gateway/feed_sharing_test.cc
@@ -53,9 +53,9 @@
     EXPECT_TRUE(isReadDue(freshness, false, start + confirmationTimeout));
 }
 
-// Guards against confirmations that circulate among instances although none of them reads: a
-// relayed confirmation keeps the age of the original read.
-TEST(FeedSharingTest, AConfirmationKeepsTheAgeOfTheRead)
+// Guards against confirmations that circulate among instances although none of them reads: only an
+// instance's own read confirms the content of others.
+TEST(FeedSharingTest, OnlyTheReaderConfirms)
 {
     FeedFreshness reader;
     FeedFreshness second;
@@ -70,7 +70,20 @@
         second.onPeerStatus(third.status(now), now);
     }
     EXPECT_EQ(second.confirmedAt(), start - maxReportTransit);
-    EXPECT_EQ(third.confirmedAt(), start - 2 * maxReportTransit);
+    EXPECT_EQ(third.confirmedAt(), start - 1s);
+}
+
+// Guards against content of a peer that is passed on as if it had been read here.
+TEST(FeedSharingTest, ContentOfAPeerDoesNotConfirmThatOfOthers)
+{
+    FeedFreshness second;
+    FeedFreshness third;
+    second.onContentRead(start - 1s, 7);
+    third.onContentRead(start - 1s, 8);
+    second.onContentRead(start, 8, ContentSource::Peer);
+    third.onPeerStatus(second.status(start + 100ms), start + 100ms);
+    EXPECT_EQ(second.confirmedAt(), start);
+    EXPECT_EQ(third.confirmedAt(), start - 1s);
 }
 
 // Guards against content that looks newer each time two instances exchange its status. Without the
@@ -98,6 +111,28 @@
     }
 }
 
+// Guards against a region in which nobody reads the store, because each exchange of statuses makes
+// the content look newer when reports take longer than maxReportTransit.
+TEST(FeedSharingTest, SlowReportsDoNotReplaceReads)
+{
+    for (const auto path : {31ms, 120ms, 500ms}) {
+        FeedFreshness first;
+        FeedFreshness second;
+        first.onContentRead(start, 7);
+        second.onContentRead(start - 100ms, 7);
+        BootTime now = start;
+        while (now < start + confirmationTimeout + path) {
+            const FeedStatus statusOfFirst = first.status(now);
+            const FeedStatus statusOfSecond = second.status(now);
+            now += path;
+            second.onPeerStatus(statusOfFirst, now);
+            first.onPeerStatus(statusOfSecond, now);
+        }
+        EXPECT_TRUE(isReadDue(first, false, now)) << path.count();
+        EXPECT_TRUE(isReadDue(second, false, now)) << path.count();
+    }
+}
+
 // Guards against an instance that was suspended and treats the datagrams buffered in its socket as
 // recent.
 TEST(FeedSharingTest, DatagramsThatWaitedDuringAStallAreNotTrusted)
--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -176,7 +176,7 @@
     onSuccess(loop);
     // A peer's change that was applied while the read was in flight may be newer than this list.
     if (start > state.peerChangeReadAt)
-        applyList(loop, value(result), start);
+        applyList(loop, value(result), start, ContentSource::Store);
     readOrReschedule(loop);
 }
 
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store_feed.h
@@ -156,7 +156,7 @@
     void readOrReschedule(Loop loop);
     void onList(Loop loop, const Result<WatchResult, StoreError> &result);
     // Applies the list of a prefix, from a read that started at `start`, and reports the change.
-    void applyList(Loop loop, const WatchResult &list, BootTime start);
+    void applyList(Loop loop, const WatchResult &list, BootTime start, ContentSource source);
     void applyPeerChange(const LoadReport &report);
     [[nodiscard]] EntryHashes entryHashesOf(Loop loop, const WatchResult &list) const;
     [[nodiscard]] std::string targetIdOf(const StoreEntry &entry) const;
--- a/chestnutvane/process/gateway/store_feed_content.cc
+++ b/chestnutvane/process/gateway/store_feed_content.cc
@@ -5,7 +5,7 @@
 
 namespace chestnutvane {
 
-void StoreFeed::applyList(Loop loop, const WatchResult &list, BootTime start)
+void StoreFeed::applyList(Loop loop, const WatchResult &list, BootTime start, ContentSource source)
 {
     LoopState &state = loops_[indexOf(loop)];
     EntryHashes entryHashes =
@@ -14,7 +14,7 @@
     change.prefix = loop == Loop::Operator ? FeedPrefix::OperatorKeys : FeedPrefix::Targets;
     // Without earlier content there is nothing that peers could apply a change to.
     const bool hadContent = freshness(loop).hasContent();
-    freshness(loop).onContentRead(start, change.to);
+    freshness(loop).onContentRead(start, change.to, source);
     state.lastList = list;
     state.entryHashes = std::move(entryHashes);
     if (hadContent && change.from == change.to)
@@ -52,7 +52,7 @@
               {"store-version", change.version},
               {"age-ms", status.age.count()}});
     state.peerChangeReadAt = readAt;
-    applyList(loop, applyChange(state.lastList, change), readAt);
+    applyList(loop, applyChange(state.lastList, change), readAt, ContentSource::Peer);
     if (freshness(loop).status(readAt).fingerprint != change.to)
         freshness(loop).markOutdated();
 }
@@ -76,7 +76,7 @@
         // Entries with equal hashes are not replaced, as this instance may have newer heartbeats.
         const FeedChange change = changeBetween(
                 state.entryHashes, entryHashesOf(loop, prefixContent.list), prefixContent.list);
-        applyList(loop, applyChange(state.lastList, change), readAt);
+        applyList(loop, applyChange(state.lastList, change), readAt, ContentSource::Peer);
     }
 }
 
