Send waiting requests to the home regions of the newest revision

Cause: a request kept the route that it was matched to at its arrival. Class: a decision made from state that was read earlier than the decision.

The test failed before: all three requests were sent to the old home.

Only the homes follow the newest revision. Service and limits stay as they were at the arrival, as attempts may have been made with them.

--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -98,6 +98,8 @@
     const HttpRequestMessage &request = *call.request;
     pending->table = table_;
     pending->route = &route;
+    pending->homeRegions = route.homeRegions;
+    pending->homesTable = table_;
     pending->service = splits_.next(route);
     pending->id = headerText(request, settings_.headers.requestId);
     if (const std::string key = headerText(request, settings_.headers.objectKey);
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -52,6 +52,10 @@
     // Route table of the revision that applies to the request.
     std::shared_ptr<const RouteTable> table;
     const Route *route = nullptr;
+    // Regions that may serve the request, of the newest revision that has a route for it; empty:
+    // any region may.
+    std::vector<std::string> homeRegions;
+    std::shared_ptr<const RouteTable> homesTable; // the revision that homeRegions was taken from
     std::string service;
     std::string id;
     std::uint64_t object = 0; // key of the object; 0: no object affinity
@@ -188,6 +192,8 @@
     // snapshots.
     void fillCandidates(const PendingRequest &pending, const std::vector<TargetSnapshot> &snapshots,
                         std::vector<Candidate> &candidates, std::vector<std::size_t> &indices);
+    // Updates the home regions of a request that arrived under an earlier revision.
+    void updateHomeRegions(PendingRequest &pending) const;
     [[nodiscard]] bool isSendAllowed(const std::string &service, const Target &target,
                                      TimePoint now);
     [[nodiscard]] bool shouldSendFirstRequest(const Target &target, TimePoint now) const;
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -25,11 +25,10 @@
 // Requests at the head of a long queue that every pass covers.
 constexpr std::size_t queueHeadSize = 8;
 
-bool isHomeRegion(const Route &route, const std::string &region)
+bool isHomeRegion(const PendingRequest &pending, const std::string &region)
 {
-    return route.homeRegions.empty()
-            || std::find(route.homeRegions.begin(), route.homeRegions.end(), region)
-            != route.homeRegions.end();
+    const auto &homes = pending.homeRegions;
+    return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
 }
 
 // Logs once per request that it waits.
@@ -103,6 +102,7 @@
             snapshots[planned->second].shared.queueLength += 1;
             continue;
         }
+        updateHomeRegions(*pending);
         fillCandidates(*pending, snapshots, candidates, indices);
         TimePoint limit = pending->deadlineAt;
         if (shutdownDeadline_)
@@ -183,7 +183,7 @@
         for (std::size_t i = 0; i < snapshots.size(); ++i) {
             const TargetSnapshot &snapshot = snapshots[i];
             const Target &target = *snapshot.target;
-            if (snapshot.inBackOff != inBackOff || !isHomeRegion(*pending.route, target.region)
+            if (snapshot.inBackOff != inBackOff || !isHomeRegion(pending, target.region)
                 || std::find(pending.triedTargets.begin(), pending.triedTargets.end(), target.hash)
                         != pending.triedTargets.end())
                 continue;
@@ -203,6 +203,19 @@
         fill(true);
 }
 
+// Only the home regions follow the newest revision. Everything else of the route is bound at the
+// arrival of the request, as an attempt may have been made on it already.
+void Gateway::updateHomeRegions(PendingRequest &pending) const
+{
+    if (pending.homesTable == table_)
+        return;
+    pending.homesTable = table_;
+    const HttpRequestMessage &request = *pending.call.request;
+    const auto text = [](const auto &view) { return std::string_view(view.data(), view.size()); };
+    if (const Route *route = table_->find(text(request[http::field::host]), text(request.target())))
+        pending.homeRegions = route->homeRegions;
+}
+
 bool Gateway::isSendAllowed(const std::string &service, const Target &target, TimePoint now)
 {
     if (target.fullUntil > now || (target.consecutiveFailures > 0 && target.inFlight > 0))
--- a/chestnutvane/process/gateway/gateway_test.cc
+++ b/chestnutvane/process/gateway/gateway_test.cc
@@ -139,6 +139,35 @@
     EXPECT_LE(crowded.fullPasses() - before, 2 + static_cast<double>(allowedPasses));
 }
 
+// Guards against a request that arrived before a configuration change and is sent to a region that
+// is not a home any more.
+TEST(GatewayTest, AWaitingRequestIsSentToTheHomeRegionsOfTheNewestRevision)
+{
+    CrowdedGateway crowded(4);
+    const auto routes = crowded.gateway.routes();
+    const auto withHome = [&routes](std::uint64_t revision, const std::string &region) {
+        Route route = routes->routes().front();
+        route.homeRegions = {region};
+        return value(RouteTable::create(
+                revision, {route},
+                {{CrowdedGateway::service, *routes->service(CrowdedGateway::service)}}, {}));
+    };
+    crowded.gateway.setRoutes(withHome(2, "here"));
+    crowded.sendRequests(3);
+    crowded.io.poll();
+    ASSERT_EQ(crowded.gateway.pendingRequests(), 3U);
+    crowded.gateway.setRoutes(withHome(3, "there"));
+    crowded.reportAllIdle();
+    crowded.gateway.scheduleFullPasses();
+    while (crowded.answered < 3)
+        ASSERT_GT(crowded.io.run_one(), 0U);
+    EXPECT_EQ(crowded.sends("no"), 0);
+    EXPECT_GE(crowded.metrics.value(
+                      "vane_gateway_sends_total",
+                      {{"service", CrowdedGateway::service}, {"region", "there"}, {"warm", "no"}}),
+              3);
+}
+
 // Guards against a pause that is noticeable to callers of a small fleet.
 TEST(GatewayTest, ASmallFleetHasShortPauses)
 {
