Keep the cold-start limit with more instances than it has requests

Cause: each instance was given at least one request a second. 27 instances of a region share 9.5, so together they could send 27. Class: a share of a common limit that is rounded up. The whole requests are now given to the instances of the lowest ranks, by a hash of instance and target.

The property test had 1 to 5 instances, fewer than the limit has requests, so it missed this; it now has 1 to 99 and adds up all ranks.

--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -197,7 +197,7 @@
     [[nodiscard]] bool isSendAllowed(const std::string &service, const Target &target,
                                      TimePoint now);
     [[nodiscard]] bool shouldSendFirstRequest(const Target &target, TimePoint now) const;
-    [[nodiscard]] std::size_t instanceCountIn(const std::string &region, TimePoint now) const;
+    [[nodiscard]] InstanceRank rankFor(const Target &target, TimePoint now) const;
     [[nodiscard]] Duration roundTrip(const Target &target) const;
 
     // Attempts and their results (gateway_attempts.cc).
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -227,7 +227,7 @@
                                         settings_.coldOvershoot, settings_.coldSlack};
     constexpr std::chrono::seconds rateWindow{1};
     auto &sends = coldStartAttempts_.try_emplace(target.hash, rateWindow).first->second;
-    return sends.count(now) < coldStartRateShare(totalLimit, instanceCountIn(target.region, now));
+    return sends.count(now) < coldStartRateShare(totalLimit, rankFor(target, now));
 }
 
 // Returns whether this instance is to send a new target its first request. At first only one
@@ -249,18 +249,23 @@
     });
 }
 
-std::size_t Gateway::instanceCountIn(const std::string &region, TimePoint now) const
+// Returns the rank of this instance among those of the target's region. It differs from target to
+// target, so that the same instances do not use all of them.
+InstanceRank Gateway::rankFor(const Target &target, TimePoint now) const
 {
-    std::size_t count = region == region_ ? 1 : 0;
+    const std::uint64_t ownHash = hash64(settings_.instanceId, target.hash);
+    InstanceRank place{target.region == region_ ? 1U : 0U, 0};
     for (const auto &[id, peer] : fleet_.peers()) {
         // A silent instance may still send requests, so it is counted longer than it is considered
         // alive.
         constexpr std::chrono::seconds silentPeerTimeout{10};
-        if (settings_.regionOf(peer.report.sender.zone) == region
-            && now - peer.receivedAt < silentPeerTimeout)
-            ++count;
+        if (settings_.regionOf(peer.report.sender.zone) != target.region
+            || now - peer.receivedAt >= silentPeerTimeout)
+            continue;
+        ++place.instances;
+        place.rank += hash64(id, target.hash) < ownHash ? 1 : 0;
     }
-    return count;
+    return place;
 }
 
 Duration Gateway::roundTrip(const Target &target) const
--- a/chestnutvane/process/gateway/send_limits.cc
+++ b/chestnutvane/process/gateway/send_limits.cc
@@ -26,12 +26,13 @@
     return events_.size();
 }
 
-std::size_t coldStartRateShare(const ColdStartRateLimit &totalLimit, std::size_t instances)
+std::size_t coldStartRateShare(const ColdStartRateLimit &totalLimit, const InstanceRank &place)
 {
-    const double all =
+    const double allocated =
             (totalLimit.perSecond * totalLimit.overshoot + totalLimit.slack) * allocatedFraction;
-    const double share = all / static_cast<double>(std::max<std::size_t>(instances, 1));
-    return std::max<std::size_t>(static_cast<std::size_t>(share), 1);
+    const auto all = std::max<std::size_t>(static_cast<std::size_t>(allocated), 1);
+    const std::size_t instances = std::max<std::size_t>(place.instances, 1);
+    return all / instances + (place.rank < all % instances ? 1 : 0);
 }
 
 RetryLimiter::RetryLimiter(RetryLimit totalLimit)
--- a/chestnutvane/process/gateway/send_limits.h
+++ b/chestnutvane/process/gateway/send_limits.h
@@ -5,7 +5,7 @@
 // Example:
 //
 //   SlidingWindowCounter sends(std::chrono::seconds(1));
-//   if (sends.count(now) < coldStartRateShare(limit, instances))
+//   if (sends.count(now) < coldStartRateShare(limit, {instances, rank}))
 //       sends.add(now);
 //
 // Not thread-safe.
@@ -39,10 +39,18 @@
     double slack = 0; // requests allowed beyond rate times factor
 };
 
-// Returns how many requests per second an instance may send to a target in its cold start, at least
-// 1. Only a part of the limit is allocated, because the others learn of a new instance with a
-// delay.
-std::size_t coldStartRateShare(const ColdStartRateLimit &totalLimit, std::size_t instances);
+// The place of an instance among the instances that share a limit. All instances that know the same
+// fleet have different ranks.
+struct InstanceRank
+{
+    std::size_t instances = 1;
+    std::size_t rank = 0; // from 0 to instances - 1
+};
+
+// Returns how many requests per second an instance may send to a target in its cold start. With
+// more instances than requests only those of the lowest ranks may send any. Only a part of the
+// limit is allocated, because the others learn of a new instance with a delay.
+std::size_t coldStartRateShare(const ColdStartRateLimit &totalLimit, const InstanceRank &place);
 
 // Limit of attempts beyond the first in any window, for one service over all instances.
 struct RetryLimit
--- a/chestnutvane/process/gateway/send_limits_test.cc
+++ b/chestnutvane/process/gateway/send_limits_test.cc
@@ -13,14 +13,17 @@
 const TimePoint start = TimePoint{} + 1h;
 
 // Guards against shares of the instances that add up to more than the limit of a target in its cold
-// start.
+// start, also in a fleet with more instances than the limit has requests.
 RC_GTEST_PROP(ColdStartRateShareTest, SharesOfAllInstancesKeepTheBound, ())
 {
     const ColdStartRateLimit totalLimit{*rc::gen::inRange(1, 100) / 10.0, 1.5, 5};
-    const auto instances = *rc::gen::inRange<std::size_t>(1, 6);
+    const auto instances = *rc::gen::inRange<std::size_t>(1, 100);
     const double allowed = totalLimit.perSecond * totalLimit.overshoot + totalLimit.slack;
-    RC_ASSERT(static_cast<double>(coldStartRateShare(totalLimit, instances) * instances)
-              <= allowed);
+    std::size_t sum = 0;
+    for (std::size_t rank = 0; rank < instances; ++rank)
+        sum += coldStartRateShare(totalLimit, {instances, rank});
+    RC_ASSERT(static_cast<double>(sum) <= allowed);
+    RC_ASSERT(sum >= 1U); // the target gets some requests
 }
 
 // Guards against a counter that keeps events for longer or shorter than its window.
