Encode a report once for all receivers that get the same

Half of the processor time of an instance in a fleet of 81 went into reports: 28% to receive, 20% to send them (perf, 81 instances on loopback, 13 requests a second each). Each report was filled from all targets and encoded for each receiver anew. Receivers of one round now share the datagram if identity and warm objects are the same. A sender is found by its incarnation with an index, and a known address is not parsed again.

The machine was busy, so only the direction is shown.

--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -78,10 +78,16 @@
 {
     if (peer.id == self_.id)
         return;
+    if (const auto known = receivers_.find(peer.id);
+        known != receivers_.end() && known->second.reportAddress == peer.reportAddress) {
+        known->second.lastSeen = Clock::now();
+        return;
+    }
     const auto endpoint = toUdp(peer.reportAddress);
     if (!endpoint)
         return;
     Receiver &receiver = receivers_[peer.id];
+    receiver.reportAddress = peer.reportAddress;
     receiver.endpoint = *endpoint;
     receiver.inSameRegion = settings_.regionOf(peer.zone) == settings_.regionOf(self_.zone);
     receiver.lastSeen = Clock::now();
@@ -95,7 +101,7 @@
             continue;
         listedPeers_[peer.id] = peer;
         if (!receivers_.contains(peer.id)
-            || receivers_[peer.id].endpoint != toUdp(peer.reportAddress))
+            || receivers_[peer.id].reportAddress != peer.reportAddress)
             addPeer(peer);
     }
     const TimePoint now = Clock::now();
@@ -105,6 +111,19 @@
     });
 }
 
+template <class Condition>
+void FleetLink::sendWhere(Condition condition, const std::string &change)
+{
+    std::optional<ReportRound> round;
+    for (auto &[id, receiver] : receivers_) {
+        if (!condition(receiver))
+            continue;
+        if (!round)
+            round = startRound(change);
+        sendTo(receiver, *round);
+    }
+}
+
 void FleetLink::receive()
 {
     socket_.async_receive_from(net::buffer(buffer_), senderEndpoint_,
@@ -182,31 +201,48 @@
         reportScheduled_ = false;
         if (cancelled)
             return;
-        for (auto &[id, receiver] : receivers_) {
-            if (receiver.inSameRegion)
-                sendTo(receiver);
-        }
+        sendWhere([](const Receiver &receiver) { return receiver.inSameRegion; });
     });
 }
 
-void FleetLink::sendTo(Receiver &receiver, const std::string &change)
+FleetLink::ReportRound FleetLink::startRound(const std::string &change)
 {
-    LoadReport report;
-    report.sender = self_;
-    report.state = state_;
-    report.sequence = ++sequence_;
-    gateway_.fillReport(report);
+    ReportRound round;
+    round.report.sender = self_;
+    round.report.state = state_;
+    round.report.sequence = ++sequence_;
+    gateway_.fillReport(round.report);
     if (fillFeedStatus_)
-        fillFeedStatus_(report);
-    report.warmObjects = std::exchange(receiver.unsentWarmObjects, {});
-    report.feedChange = change;
+        fillFeedStatus_(round.report);
+    round.report.feedChange = change;
+    return round;
+}
+
+const std::string &FleetLink::datagramFor(ReportRound &round, IdentityPart part,
+                                          const std::vector<WarmObject> &warmObjects)
+{
+    for (const ReportRound::Datagram &datagram : round.datagrams) {
+        if (datagram.part == part && datagram.warmObjects == warmObjects)
+            return datagram.bytes;
+    }
+    LoadReport &report = round.report;
+    report.warmObjects = warmObjects;
+    if (part == IdentityPart::Full)
+        report.crashCounts = gateway_.crashCountsToReport();
+    else
+        report.crashCounts.clear();
+    round.datagrams.push_back({part, warmObjects, encodeReport(report, part)});
+    return round.datagrams.back().bytes;
+}
+
+void FleetLink::sendTo(Receiver &receiver, ReportRound &round)
+{
     const TimePoint now = Clock::now();
     const bool withIdentity =
             now - receiver.identitySentAt >= identityPeriod || state_ != receiver.lastStateSent;
-    if (withIdentity)
-        report.crashCounts = gateway_.crashCountsToReport();
-    const std::string datagram =
-            encodeReport(report, withIdentity ? IdentityPart::Full : IdentityPart::Incarnation);
+    const auto warmObjects = std::exchange(receiver.unsentWarmObjects, {});
+    const std::string &datagram = datagramFor(
+            round, withIdentity ? IdentityPart::Full : IdentityPart::Incarnation, warmObjects);
     if (withIdentity)
         receiver.identitySentAt = now;
     receiver.lastStateSent = state_;
@@ -225,17 +261,13 @@
 
 void FleetLink::sendFeedChange(const std::string &change)
 {
-    for (auto &[id, receiver] : receivers_) {
-        if (receiver.inSameRegion)
-            sendTo(receiver, change);
-    }
+    sendWhere([](const Receiver &receiver) { return receiver.inSameRegion; }, change);
 }
 
 void FleetLink::setState(PeerState state)
 {
     state_ = state;
-    for (auto &[id, receiver] : receivers_)
-        sendTo(receiver);
+    sendWhere([](const Receiver &) { return true; });
 }
 
 void FleetLink::tick()
@@ -243,11 +275,10 @@
     stallDetector_.onTick(BootClock::now());
     const TimePoint now = Clock::now();
     const ReportIntervals current = intervals();
-    for (auto &[id, receiver] : receivers_) {
-        if (now - receiver.lastSent
-            >= (receiver.inSameRegion ? current.sameRegion : current.otherRegions))
-            sendTo(receiver);
-    }
+    sendWhere([now, &current](const Receiver &receiver) {
+        return now - receiver.lastSent
+                >= (receiver.inSameRegion ? current.sameRegion : current.otherRegions);
+    });
     constexpr int ticksPerPeriod = 2;
     tickTimer_.expires_after(minReportInterval / ticksPerPeriod);
     tickTimer_.async_wait([this](const Error &cancelled) {
--- a/chestnutvane/process/gateway/fleet_link.h
+++ b/chestnutvane/process/gateway/fleet_link.h
@@ -95,6 +95,7 @@
 private:
     struct Receiver
     {
+        std::string reportAddress; // "IP:port", as in the peer's identity
         net::ip::udp::endpoint endpoint;
         bool inSameRegion = false;
         std::vector<WarmObject> unsentWarmObjects; // since the last report
@@ -104,6 +105,20 @@
         TimePoint lastSeen; // when a report arrived or the peer was added from the list
     };
 
+    // Reports that are sent at the same time. Most receivers get the same one, which is encoded
+    // once: encoding one for each of 80 receivers took a fifth of an instance's processor time.
+    struct ReportRound
+    {
+        struct Datagram
+        {
+            IdentityPart part = IdentityPart::Full;
+            std::vector<WarmObject> warmObjects;
+            std::string bytes;
+        };
+        LoadReport report;
+        std::vector<Datagram> datagrams;
+    };
+
     FleetLink(net::io_context &io, PeerIdentity self, const GatewaySettings &settings,
               Gateway &gateway);
 
@@ -111,7 +126,14 @@
     void onDatagram(std::size_t bytes);
     // Schedules a report, with the warm object of a new attempt unless that is null.
     void onLoadChange(const WarmObject *warmObject);
-    void sendTo(Receiver &receiver, const std::string &change = {});
+    // Sends a report to all receivers that meet the condition.
+    template <class Condition>
+    void sendWhere(Condition condition, const std::string &change = {});
+    [[nodiscard]] ReportRound startRound(const std::string &change);
+    // Returns the encoded report, from the round if an equal one was sent in it.
+    const std::string &datagramFor(ReportRound &round, IdentityPart part,
+                                   const std::vector<WarmObject> &warmObjects);
+    void sendTo(Receiver &receiver, ReportRound &round);
     // Sends the reports that are due by the intervals.
     void tick();
     // Schedules a report to the peers in the same region after the coalescing interval.
--- a/chestnutvane/process/gateway/load_report.cc
+++ b/chestnutvane/process/gateway/load_report.cc
@@ -139,6 +139,10 @@
     const std::string id = report.sender.id;
     Peer &peer = peers_[id];
     subtractFromSums(peer);
+    if (peer.report.sender.incarnation != report.sender.incarnation) {
+        idsByIncarnation_.erase(peer.report.sender.incarnation);
+        idsByIncarnation_[report.sender.incarnation] = id;
+    }
     peer = Peer{std::move(report), now};
     addToSums(peer);
     return true;
@@ -146,11 +150,10 @@
 
 std::optional<PeerIdentity> FleetView::identityOf(std::uint64_t incarnation) const
 {
-    for (const auto &[id, peer] : peers_) {
-        if (peer.report.sender.incarnation == incarnation)
-            return peer.report.sender;
-    }
-    return std::nullopt;
+    const auto found = idsByIncarnation_.find(incarnation);
+    if (found == idsByIncarnation_.end())
+        return std::nullopt;
+    return peers_.at(found->second).report.sender;
 }
 
 void FleetView::addToSums(Peer &peer)
@@ -230,8 +233,12 @@
 {
     constexpr std::chrono::seconds peerRetention{30};
     subtractExpired(now);
-    std::erase_if(peers_, [now, peerRetention](const auto &entry) {
-        return now - entry.second.receivedAt > peerRetention;
+    std::erase_if(peers_, [this, now, peerRetention](const auto &entry) {
+        const Peer &peer = entry.second;
+        if (now - peer.receivedAt <= peerRetention)
+            return false;
+        idsByIncarnation_.erase(peer.report.sender.incarnation);
+        return true;
     });
 }
 
--- a/chestnutvane/process/gateway/load_report.h
+++ b/chestnutvane/process/gateway/load_report.h
@@ -153,6 +153,7 @@
     void subtractExpired(TimePoint now);
 
     std::map<std::string, Peer> peers_;
+    std::unordered_map<std::uint64_t, std::string> idsByIncarnation_; // of peers_
     std::unordered_map<std::uint64_t, int> sums_; // attempts in flight by target hash
     TimePoint nextExpiry_ = TimePoint::max(); // no report included in sums_ expires before this
 };
