Bound what a target can send without end

Each attempt had a bound of 16 MiB, all together had none. Class: a limit for each part without one for the whole.

At most 8 informational answers are read, the bytes ahead of the parser are bounded, and the attempts share 16 MiB for answers: above it those with more than an equal part are given up, so an honest small answer is not.

--- a/chestnutvane/connection/target_exchange.cc
+++ b/chestnutvane/connection/target_exchange.cc
@@ -19,6 +19,10 @@
 
 // Answers of earlier requests that are dropped on one connection before it is given up.
 constexpr int maxExtraAnswers = 3;
+// Informational answers (status 100 to 199) that may precede an answer.
+constexpr int maxInformationalAnswers = 8;
+// Bytes that are read ahead of the parser. Bounds chunk headers, which the parser does not.
+constexpr std::size_t maxReadAhead = 64U << 10U;
 constexpr int statusMisdirected = 421;
 // Share of a target's stated idle time for which a connection is reused: a request that crosses
 // the target's close may have run and cannot be sent again.
@@ -67,12 +71,16 @@
     void connect();
     void send();
     void receive();
+    // Reads until the answer is complete, or its buffered bytes exceed the bounds.
+    void readSome();
+    void onSomeRead(const Error &failure);
     void onAnswer(const Error &failure);
     void accept(http::response<http::string_body> message);
     void fail(ExchangeFailure failure);
     void finish(std::variant<TargetAnswer, ExchangeError> outcome);
     void keepConnection(const HttpResponseMessage &message);
     void closeSocket();
+    void uncount(); // releases the memory counted in the pool
     void setTimer(TimePoint at, ExchangeFailure failure);
 
     net::io_context &io_;
@@ -81,12 +89,15 @@
     Callback callback_;
     Tcp::socket socket_;
     net::steady_timer timer_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{maxReadAhead};
     std::optional<http::response_parser<http::string_body>> parser_;
     ExchangeResult result_;
     TimePoint connectStart_;
     TimePoint sendStart_;
     int extraAnswers_ = 0;
+    int informationalAnswers_ = 0;
+    std::size_t bufferedBytes_ = 0; // of the answer's body, as counted in the pool
+    bool isCounted_ = false; // in the pool
     bool sent_ = false; // a byte of the request may be on its way
     bool written_ = false; // the whole request was written
     bool done_ = false;
@@ -144,11 +155,30 @@
 {
     parser_.emplace();
     parser_->body_limit(request_.maxAnswerBytes);
-    http::async_read(socket_, buffer_, *parser_,
-                     [self = shared_from_this()](const Error &failure, std::size_t) {
-                         if (!self->done_)
-                             self->onAnswer(failure);
-                     });
+    parser_->eager(true);
+    if (!std::exchange(isCounted_, true))
+        pool_.startAnswer();
+    readSome();
+}
+
+void Exchange::readSome()
+{
+    http::async_read_some(socket_, buffer_, *parser_,
+                          [self = shared_from_this()](const Error &failure, std::size_t) {
+                              if (!self->done_)
+                                  self->onSomeRead(failure);
+                          });
+}
+
+void Exchange::onSomeRead(const Error &failure)
+{
+    if (failure || parser_->is_done())
+        return onAnswer(failure);
+    const std::size_t size = parser_->get().body().size();
+    const std::size_t before = std::exchange(bufferedBytes_, size);
+    if (!pool_.resizeAnswer(before, size))
+        return fail(ExchangeFailure::Garbled);
+    readSome();
 }
 
 void Exchange::onAnswer(const Error &failure)
@@ -160,8 +190,11 @@
         return fail(broken ? ExchangeFailure::Garbled : ExchangeFailure::ConnectionLost);
     }
     auto message = parser_->release();
-    if (http::to_status_class(message.result_int()) == http::status_class::informational)
+    if (http::to_status_class(message.result_int()) == http::status_class::informational) {
+        if (++informationalAnswers_ > maxInformationalAnswers)
+            return fail(ExchangeFailure::Garbled);
         return receive();
+    }
     const auto id = message.find(request_.names.requestId);
     if (id != message.end() && id->value() != request_.requestId) {
         if (++extraAnswers_ > maxExtraAnswers || !message.keep_alive())
@@ -210,6 +243,7 @@
     callback_ = nullptr;
     timer_.cancel();
     closeSocket();
+    uncount();
 }
 
 void Exchange::fail(ExchangeFailure failure)
@@ -224,6 +258,7 @@
     done_ = true;
     timer_.cancel();
     closeSocket();
+    uncount();
     if (sent_)
         result_.elapsed = Clock::now() - sendStart_;
     result_.outcome = std::move(outcome);
@@ -236,6 +271,12 @@
     socket_.close(ignored);
 }
 
+void Exchange::uncount()
+{
+    if (std::exchange(isCounted_, false))
+        pool_.endAnswer(std::exchange(bufferedBytes_, 0));
+}
+
 void Exchange::setTimer(TimePoint at, ExchangeFailure failure)
 {
     timer_.expires_at(at);
@@ -279,6 +320,12 @@
     idle_[address].push_back({std::move(socket), until});
 }
 
+bool TargetPool::resizeAnswer(std::size_t before, std::size_t now)
+{
+    bufferedBytes_ += now - before;
+    return bufferedBytes_ <= maxBufferedAnswers || now * answers_ <= maxBufferedAnswers;
+}
+
 void TargetPool::drop(const std::string &address)
 {
     idle_.erase(address);
--- a/chestnutvane/connection/target_exchange_test.cc
+++ b/chestnutvane/connection/target_exchange_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+
 #include "testing/raw_peer.h"
 
 namespace chestnutvane {
@@ -184,6 +186,82 @@
     EXPECT_FALSE(pool_.take(server.address(), Clock::now()).has_value());
 }
 
+// Sends the head and then the piece again and again until the peer closes. Returns the bytes sent.
+std::size_t sendWithoutEnd(RawClient &connection, const std::string &head, const std::string &piece)
+{
+    connection.readUntil("\r\n\r\n");
+    connection.send(head);
+    std::size_t sent = head.size();
+    constexpr std::size_t longest = 64U << 20U; // ends the test if nobody closes
+    while (sent < longest && !connection.waitForClose(2ms)) {
+        connection.send(piece);
+        sent += piece.size();
+    }
+    return sent;
+}
+
+// Guards against an attempt that reads bytes without end in a head until its time is over.
+TEST_F(TargetExchangeTest, AHeadWithoutEndEndsTheAttempt)
+{
+    const std::string piece(1000, 'a');
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked =
+            start + "Vane-Request-Id: r1\r\nAnswer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases{
+            {"", piece}, // no line end
+            {start, "X-A: " + piece + "\r\n"}, // header fields
+            {start + "X-A: ", piece}, // one field
+            {"", "HTTP/1.1 100 Continue\r\n\r\n"}, // informational answers
+            {chunked + "4;x=", piece}, // a chunk extension
+            {chunked + "0\r\n", "X-A: " + piece + "\r\n"}, // trailer fields
+    };
+    for (const auto &[head, further] : cases) {
+        const RawServer server([&head = head, &further = further](RawClient &connection, int) {
+            sendWithoutEnd(connection, head, further);
+        });
+        const ExchangeResult result = exchange(server, {}, 3s);
+        const auto *failed = std::get_if<ExchangeError>(&result.outcome);
+        ASSERT_NE(failed, nullptr) << head;
+        EXPECT_EQ(failed->failure, ExchangeFailure::Garbled) << head;
+    }
+}
+
+// Guards against a process that ends for want of memory because several targets send bodies without
+// end. 16 bodies of the longest allowed size would take 256 MiB.
+TEST_F(TargetExchangeTest, BodiesWithoutEndShareABoundOnMemory)
+{
+    constexpr int attempts = 16;
+    std::atomic<std::size_t> sent{0};
+    const RawServer server([&sent](RawClient &connection, int) {
+        sent += sendWithoutEnd(connection,
+                               "HTTP/1.1 200 OK\r\nVane-Request-Id: r1\r\nAnswer-Seal: s\r\n\r\n",
+                               std::string(64U << 10U, 'b'));
+    });
+    int garbled = 0;
+    std::vector<std::shared_ptr<TargetExchange>> running;
+    for (int i = 0; i < attempts; ++i) {
+        ExchangeRequest request;
+        request.address = server.address();
+        request.message = std::make_shared<HttpRequestMessage>(http::verb::get, "/x", 11);
+        request.requestId = "r1";
+        request.connectLimit = 2s;
+        request.limit = Clock::now() + 20s;
+        running.push_back(TargetExchange::start(
+                io_, pool_, std::move(request), [&garbled](const ExchangeResult &result) {
+                    const auto *failed = std::get_if<ExchangeError>(&result.outcome);
+                    garbled += failed != nullptr && failed->failure == ExchangeFailure::Garbled;
+                }));
+    }
+    while (garbled < attempts && io_.run_one() > 0) { }
+    EXPECT_EQ(garbled, attempts);
+    for (int i = 0; i < 100 && server.connections() < attempts; ++i)
+        std::this_thread::sleep_for(10ms);
+    std::this_thread::sleep_for(200ms); // the targets notice the closes
+    constexpr std::size_t socketBuffers = 6U << 20U; // of one connection, both ends
+    EXPECT_LE(sent, 2 * maxBufferedAnswers + attempts * socketBuffers);
+    EXPECT_LE(2 * maxBufferedAnswers, 48U << 20U); // a third of the smallest instance's memory
+}
+
 // Guards against a target's word "not run" that is taken for a failure or an answer.
 TEST_F(TargetExchangeTest, RefusalsOfTheTargetAreToldApart)
 {
