--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -378,8 +378,24 @@
     feed_.readOutdated(); // reads what is still outdated from the store
 }
 
+// Sets what tells an instance that acts on old content or has no processor time to spare.
+void GatewayProcess::updateHealthMetrics()
+{
+    using Seconds = std::chrono::duration<double>;
+    if (feed_.hasAllContent()) {
+        metrics_.set("vane_gateway_content_age_seconds", {{"content", "operator"}},
+                     Seconds(feed_.operatorAge()).count());
+        metrics_.set("vane_gateway_content_age_seconds", {{"content", "targets"}},
+                     Seconds(feed_.targetsAge()).count());
+    }
+    if (tickTimer_.expiry() != TimePoint{}) // set since the first tick
+        metrics_.set("vane_gateway_loop_delay_seconds", {},
+                     std::max(Seconds(Clock::now() - tickTimer_.expiry()).count(), 0.0));
+}
+
 void GatewayProcess::tick()
 {
+    updateHealthMetrics();
     gateway_.tick();
     flushLog();
     electReader();
--- a/chestnutvane/process/gateway/gateway_process.h
+++ b/chestnutvane/process/gateway/gateway_process.h
@@ -75,6 +75,7 @@
     void requestFeed(const PeerIdentity &peer);
     void onFeedResponse(const std::string &peer, BootTime requestedAt,
                         const Result<HttpResponse, HttpError> &answer);
+    void updateHealthMetrics();
     void tick();
     void checkShutdown();
 
--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -220,6 +220,17 @@
     return operatorFreshness_.status(BootClock::now());
 }
 
+Duration StoreFeed::targetsAge() const
+{
+    return std::chrono::duration_cast<Duration>(BootClock::now() - targetsFreshness_.confirmedAt());
+}
+
+Duration StoreFeed::operatorAge() const
+{
+    return std::chrono::duration_cast<Duration>(BootClock::now()
+                                                - operatorFreshness_.confirmedAt());
+}
+
 void StoreFeed::renewLease()
 {
     if (deregistered_)
