Take the price of slot time from the regions that may serve

The test failed before (Wait at the busy target). As each change of the configuration exchanges homes, such routes are usual on the users' sites.

--- a/chestnutvane/process/gateway/placement.cc
+++ b/chestnutvane/process/gateway/placement.cc
@@ -26,18 +26,22 @@
     return Seconds(candidate.warm ? work.warm : work.cold) * candidate.runTimeFactor;
 }
 
-// Returns the price of slot time in the region, in seconds of response time per second of run time.
+// Returns the price of slot time, in seconds of response time per second of run time. It follows
+// the use of the slots in the instance's region, or in all others if no target of the region may
+// serve.
 double slotTimePrice(std::span<const Candidate> candidates, const PlacementSettings &settings)
 {
+    const bool anyInRegion = std::any_of(candidates.begin(), candidates.end(),
+                                         [](const Candidate &c) { return c.sameRegion; });
     double used = 0;
     double slots = 0;
     for (const Candidate &candidate : candidates) {
-        if (!candidate.sameRegion)
+        if (candidate.sameRegion != anyInRegion)
             continue;
         used += std::min<double>(candidate.load + candidate.queueLength, candidate.slots);
         slots += candidate.slots;
     }
-    const double utilization = slots > 0 ? used / slots : 1;
+    const double utilization = slots > 0 ? used / slots : 0;
     const double scarcity =
             (utilization - settings.scarcityThreshold) / (1 - settings.scarcityThreshold);
     return settings.maxSlotTimePrice * std::clamp(scarcity, 0.0, 1.0);
--- a/chestnutvane/process/gateway/placement_test.cc
+++ b/chestnutvane/process/gateway/placement_test.cc
@@ -55,6 +55,21 @@
     EXPECT_EQ(placement.index, 0U);
 }
 
+// Guards against a hot object that stays on one busy target of its home region although the others
+// are idle, when the instance is in another region.
+TEST(PlacementTest, IdleTargetsOfAnotherRegionAreNotScarce)
+{
+    std::vector<Candidate> candidates(8, candidate(false, 0));
+    candidates[0] = candidate(true, 12);
+    for (Candidate &far : candidates) {
+        far.sameRegion = false;
+        far.roundTrip = 110ms;
+    }
+    const Placement placement = place(candidates, work, limits, {});
+    EXPECT_EQ(placement.action, PlacementAction::Send);
+    EXPECT_NE(placement.index, 0U);
+}
+
 // Guards against traffic between regions while the same region has free slots.
 TEST(PlacementTest, AnotherRegionIsUsedOnlyWhenItAnswersSooner)
 {
