Do not let requests wait for a cold target without a share

Such a target is now no candidate of this instance, so the request goes elsewhere or is refused at once with a time to come back.

The test has 40 other instances and one cold target of 20 different ids; with ranks that get no share the request must be refused at once.

--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -156,8 +156,10 @@
         TargetSnapshot snapshot{target};
         Candidate &shared = snapshot.shared;
         shared.sameRegion = target->region == region_;
-        if (inColdStart && !shared.sameRegion)
-            continue; // only instances of the target's region share its cold-start rate limit
+        // Only instances of the target's region share its cold-start rate limit, and those without
+        // a share must not wait for it.
+        if (inColdStart && (!shared.sameRegion || coldStartShare(service, *target, now) == 0))
+            continue;
         shared.needsFirstRequest = shouldSendFirstRequest(*target, now);
         shared.slots = target->entry.slots;
         shared.load = target->inFlight + fleet_.inFlightAt(target->hash, now);
@@ -222,12 +224,19 @@
         return false;
     if (target.coldStartUntil <= now)
         return true;
+    constexpr std::chrono::seconds rateWindow{1};
+    auto &sends = coldStartAttempts_.try_emplace(target.hash, rateWindow).first->second;
+    return sends.count(now) < coldStartShare(service, target, now);
+}
+
+// Returns how many requests a second this instance may send to a target in its cold start.
+std::size_t Gateway::coldStartShare(const std::string &service, const Target &target,
+                                    TimePoint now) const
+{
     const ServiceSpec *spec = table_ ? table_->service(service) : nullptr;
     const ColdStartRateLimit totalLimit{spec == nullptr ? 0 : spec->coldPerSecond,
                                         settings_.coldOvershoot, settings_.coldSlack};
-    constexpr std::chrono::seconds rateWindow{1};
-    auto &sends = coldStartAttempts_.try_emplace(target.hash, rateWindow).first->second;
-    return sends.count(now) < coldStartRateShare(totalLimit, rankFor(target, now));
+    return coldStartRateShare(totalLimit, rankFor(target, now));
 }
 
 // Returns whether this instance is to send a new target its first request. At first only one
--- a/chestnutvane/process/gateway/gateway_test.cc
+++ b/chestnutvane/process/gateway/gateway_test.cc
@@ -168,6 +168,44 @@
               3);
 }
 
+// Guards against requests that wait for a target in its cold start to which this instance may send
+// nothing.
+TEST(GatewayTest, ARequestDoesNotWaitForAColdTargetWithoutAShare)
+{
+    int sent = 0;
+    int refused = 0;
+    constexpr int trials = 20;
+    for (int trial = 0; trial < trials; ++trial) {
+        CrowdedGateway crowded(1);
+        TargetEntry entry = crowded.gateway.registry().all().begin()->second->entry;
+        entry.id = "cold-" + std::to_string(trial);
+        entry.zone = "near";
+        entry.coldRemaining = std::chrono::seconds(60);
+        crowded.gateway.registry().replaceAll({entry}, Clock::now(), RemovalPolicy::Immediate);
+        for (int peer = 0; peer < 40; ++peer) {
+            LoadReport report;
+            report.sender = {"peer-" + std::to_string(peer),
+                             100U + static_cast<unsigned>(peer),
+                             "near",
+                             "127.0.0.1:2",
+                             "127.0.0.1:3",
+                             "127.0.0.1:4"};
+            report.state = PeerState::Serving;
+            report.sequence = 1;
+            crowded.gateway.fleet().merge(std::move(report), Clock::now());
+        }
+        crowded.sendRequests(1);
+        const int inFlight = crowded.gateway.registry().all().begin()->second->inFlight;
+        sent += inFlight;
+        refused += crowded.answered;
+        EXPECT_EQ(inFlight + crowded.answered, 1) << "the request waits";
+        while (crowded.answered < 1)
+            ASSERT_GT(crowded.io.run_one(), 0U);
+    }
+    EXPECT_GT(sent, 0);
+    EXPECT_GT(refused, 0);
+}
+
 // Guards against a pause that is noticeable to callers of a small fleet.
 TEST(GatewayTest, ASmallFleetHasShortPauses)
 {
