--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -197,7 +197,7 @@
     [[nodiscard]] bool isSendAllowed(const std::string &service, const Target &target,
                                      TimePoint now);
     [[nodiscard]] bool shouldSendFirstRequest(const Target &target, TimePoint now) const;
-    [[nodiscard]] std::size_t coldStartShare(const std::string &service, const Target &target,
+    [[nodiscard]] std::size_t coldPhaseShare(const std::string &service, const Target &target,
                                              TimePoint now) const;
     [[nodiscard]] InstanceRank rankFor(const Target &target, TimePoint now) const;
     [[nodiscard]] Duration roundTrip(const Target &target) const;
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -158,7 +158,7 @@
         shared.sameRegion = target->region == region_;
         // Only instances of the target's region share its cold-start rate limit, and those without
         // a share must not wait for it.
-        if (inColdStart && (!shared.sameRegion || coldStartShare(service, *target, now) == 0))
+        if (inColdStart && (!shared.sameRegion || coldPhaseShare(service, *target, now) == 0))
             continue;
         shared.needsFirstRequest = shouldSendFirstRequest(*target, now);
         shared.slots = target->entry.slots;
@@ -226,11 +226,11 @@
         return true;
     constexpr std::chrono::seconds rateWindow{1};
     auto &sends = coldStartAttempts_.try_emplace(target.hash, rateWindow).first->second;
-    return sends.count(now) < coldStartShare(service, target, now);
+    return sends.count(now) < coldPhaseShare(service, target, now);
 }
 
 // Returns how many requests a second this instance may send to a target in its cold start.
-std::size_t Gateway::coldStartShare(const std::string &service, const Target &target,
+std::size_t Gateway::coldPhaseShare(const std::string &service, const Target &target,
                                     TimePoint now) const
 {
     const ServiceSpec *spec = table_ ? table_->service(service) : nullptr;
