Bound the answers that libcurl's client reads

The same cause acted in HttpClient, which the daemon uses for targets and both programs use for the store and each other:

- informational answers and trailer fields were read until the time-out of the exchange (5 s in the test);
- 16 bodies without a length grew to 328 MB together, as each had a bound of 16 MiB and all together had none.

Both tests failed before. Class: a limit for each part without one for the whole.

Left: a chunk extension without end holds no memory, but libcurl reads it until the time-out of the exchange.

--- a/chestnutvane/connection/http_client.cc
+++ b/chestnutvane/connection/http_client.cc
@@ -35,7 +35,9 @@
     std::unordered_map<std::string, TimePoint> abandonedAt; // by "host:port"
     bool stopping = false;
 
-    std::unordered_map<SendId, std::unique_ptr<Exchange>> running; // the client's thread only
+    // The client's thread only.
+    AnswerMemory answerMemory{maxBufferedResponses};
+    std::unordered_map<SendId, std::unique_ptr<Exchange>> running;
     std::thread thread;
 
     ~Impl()
@@ -92,7 +94,7 @@
 
     void begin(std::unique_ptr<Exchange> exchange)
     {
-        if (!internal::prepareExchange(*exchange, options.maxIdleAge)) {
+        if (!internal::prepareExchange(*exchange, options.maxIdleAge, answerMemory)) {
             exchange->callback(internal::exchangeError(HttpFailure::BadRequest, *exchange,
                                                        "libcurl has no handle"));
             return;
--- a/chestnutvane/connection/http_client.h
+++ b/chestnutvane/connection/http_client.h
@@ -20,6 +20,10 @@
 
 namespace chestnutvane {
 
+// Limit in bytes of the memory for the answers that a client reads. All of them hold at most twice
+// as much, which is half of the 128 MB of an instance.
+inline constexpr std::size_t maxBufferedResponses = 32U << 20U;
+
 struct HttpClientOptions
 {
     int maxIdleConnections = 512;
--- a/chestnutvane/connection/http_exchange.cc
+++ b/chestnutvane/connection/http_exchange.cc
@@ -8,6 +8,10 @@
 
 namespace {
 
+// Bytes of an answer's heads, informational ones included, and of its trailer.
+constexpr std::size_t maxHeadBytes = 64U << 10U;
+constexpr int maxHeads = 9; // eight informational ones and that of the answer
+
 std::string_view trim(std::string_view text)
 {
     constexpr std::string_view blanks = " \t\r\n";
@@ -33,7 +37,14 @@
     auto *exchange = static_cast<HttpExchange *>(context);
     exchange->firstByteSeen = true;
     const std::string_view line(data, size * count);
-    if (line.starts_with("HTTP/")) { // a new head, for example after 100 Continue
+    const bool startsHead = line.starts_with("HTTP/"); // for example after 100 Continue
+    exchange->headBytes += line.size();
+    exchange->heads += startsHead ? 1 : 0;
+    if (exchange->headBytes > maxHeadBytes || exchange->heads > maxHeads) {
+        exchange->tooLarge = true;
+        return 0;
+    }
+    if (startsHead) {
         exchange->response.headers.clear();
         exchange->lengthKnown = false;
         return line.size();
@@ -54,7 +65,10 @@
     auto *exchange = static_cast<HttpExchange *>(context);
     exchange->firstByteSeen = true;
     const std::size_t bytes = size * count;
-    if (exchange->response.body.size() + bytes > exchange->request.maxResponseBytes) {
+    const std::size_t before =
+            std::exchange(exchange->bufferedBytes, exchange->response.body.size() + bytes);
+    if (!exchange->answerMemory->resizeAnswer(before, exchange->bufferedBytes)
+        || exchange->bufferedBytes > exchange->request.maxResponseBytes) {
         exchange->tooLarge = true;
         return 0;
     }
@@ -122,13 +136,17 @@
     curl_slist_free_all(headerList);
     if (easy != nullptr)
         curl_easy_cleanup(easy);
+    if (answerMemory != nullptr)
+        answerMemory->endAnswer(bufferedBytes);
 }
 
-bool prepareExchange(HttpExchange &exchange, std::chrono::seconds maxIdleAge)
+bool prepareExchange(HttpExchange &exchange, std::chrono::seconds maxIdleAge, AnswerMemory &memory)
 {
     exchange.easy = curl_easy_init();
     if (exchange.easy == nullptr)
         return false;
+    exchange.answerMemory = &memory;
+    memory.startAnswer();
     CURL *easy = exchange.easy;
     const auto &request = exchange.request;
     curl_easy_setopt(easy, CURLOPT_URL, request.url.c_str());
--- a/chestnutvane/connection/http_exchange.h
+++ b/chestnutvane/connection/http_exchange.h
@@ -19,6 +19,7 @@
 
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/base/time.h"
+#include "chestnutvane/connection/answer_memory.h"
 #include "chestnutvane/connection/http_message.h"
 
 namespace chestnutvane::internal {
@@ -38,6 +39,10 @@
     bool firstByteSeen = false;
     bool silenceReported = false;
     bool tooLarge = false;
+    int heads = 0; // informational ones included
+    std::size_t headBytes = 0; // of all heads and of the trailer
+    std::size_t bufferedBytes = 0; // of the body, as counted in answerMemory
+    AnswerMemory *answerMemory = nullptr; // of the client
     bool lengthKnown = false;
 
     HttpExchange() = default;
@@ -48,8 +53,9 @@
 };
 
 // Sets up the handle; libcurl keeps the address of the exchange. Returns false if libcurl has no
-// handle. Idle connections older than maxIdleAge are not reused.
-bool prepareExchange(HttpExchange &exchange, std::chrono::seconds maxIdleAge);
+// handle. Idle connections older than maxIdleAge are not reused. The answer is counted in `memory`,
+// which must outlive the exchange.
+bool prepareExchange(HttpExchange &exchange, std::chrono::seconds maxIdleAge, AnswerMemory &memory);
 
 // The answer, or the error that says whether the request may have left, after libcurl has ended the
 // exchange with a code.
--- a/chestnutvane/connection/target_exchange.cc
+++ b/chestnutvane/connection/target_exchange.cc
@@ -157,7 +157,7 @@
     parser_->body_limit(request_.maxAnswerBytes);
     parser_->eager(true);
     if (!std::exchange(isCounted_, true))
-        pool_.startAnswer();
+        pool_.answerMemory().startAnswer();
     readSome();
 }
 
@@ -176,7 +176,7 @@
         return onAnswer(failure);
     const std::size_t size = parser_->get().body().size();
     const std::size_t before = std::exchange(bufferedBytes_, size);
-    if (!pool_.resizeAnswer(before, size))
+    if (!pool_.answerMemory().resizeAnswer(before, size))
         return fail(ExchangeFailure::Garbled);
     readSome();
 }
@@ -274,7 +274,7 @@
 void Exchange::uncount()
 {
     if (std::exchange(isCounted_, false))
-        pool_.endAnswer(std::exchange(bufferedBytes_, 0));
+        pool_.answerMemory().endAnswer(std::exchange(bufferedBytes_, 0));
 }
 
 void Exchange::setTimer(TimePoint at, ExchangeFailure failure)
@@ -320,12 +320,6 @@
     idle_[address].push_back({std::move(socket), until});
 }
 
-bool TargetPool::resizeAnswer(std::size_t before, std::size_t now)
-{
-    bufferedBytes_ += now - before;
-    return bufferedBytes_ <= maxBufferedAnswers || now * answers_ <= maxBufferedAnswers;
-}
-
 void TargetPool::drop(const std::string &address)
 {
     idle_.erase(address);
--- a/chestnutvane/connection/target_exchange.h
+++ b/chestnutvane/connection/target_exchange.h
@@ -24,13 +24,13 @@
 
 #include "chestnutvane/base/enum_names.h"
 #include "chestnutvane/base/time.h"
+#include "chestnutvane/connection/answer_memory.h"
 #include "chestnutvane/connection/header_names.h"
 #include "chestnutvane/connection/http_types.h"
 
 namespace chestnutvane {
 
-// Bytes of answers that the attempts of a pool may hold before those with more than an equal part
-// of it are given up. So they hold at most twice as much together.
+// Limit in bytes of the memory for the answers that the attempts of a pool read.
 inline constexpr std::size_t maxBufferedAnswers = 16U << 20U;
 
 // What attempts at targets share: the idle connections, by "IP:port", and the memory for answers.
@@ -49,19 +49,8 @@
     // Closes the idle connections whose time is over.
     void expire(TimePoint now);
 
-    // Counts an attempt that reads an answer, until endAnswer().
-    void startAnswer() { ++answers_; }
-
-    // Updates the size of an unfinished answer, in bytes. Returns false if the attempt must be
-    // given up, because too much is buffered and this answer has more than its part.
-    [[nodiscard]] bool resizeAnswer(std::size_t before, std::size_t now);
-
-    // Ends the count of an attempt whose answer had this size at last.
-    void endAnswer(std::size_t size)
-    {
-        --answers_;
-        bufferedBytes_ -= size;
-    }
+    // The memory for the answers that attempts of this pool read.
+    [[nodiscard]] AnswerMemory &answerMemory() { return answerMemory_; }
 
 private:
     struct Idle
@@ -70,8 +59,7 @@
         TimePoint until;
     };
     std::map<std::string, std::vector<Idle>> idle_;
-    std::size_t answers_ = 0; // attempts that read one
-    std::size_t bufferedBytes_ = 0; // in these answers
+    AnswerMemory answerMemory_{maxBufferedAnswers};
 };
 
 // What a target says of its load.
