Share limits with listed instances before their first report

Class: a share of a common limit that assumes that the others are known.

Instances that the store lists and that were not heard count too, and until the list is known an instance takes no share of a cold start and no slack of the retries. While the store is away this ends after 2 s, the time in which reports tell of the others. Entries last longer than a loss of power of less than 2 s, so the first list names the fleet of before.

Ruled out as a regression: counted in the same way.

--- a/chestnutvane/process/gateway/crowded_gateway.h
+++ b/chestnutvane/process/gateway/crowded_gateway.h
@@ -32,8 +32,31 @@
             entries[i].slots = slots;
         }
         gateway.registry().replaceAll(entries, Clock::now(), RemovalPolicy::Immediate);
+        gateway.setRoutes(makeRoutes(0));
+        gateway.setListedInstances({});
+        reportAllBusy();
+    }
+
+    // Applies a report of another instance that occupies all slots.
+    void reportAllBusy() { reportInFlight(slots); }
+
+    // Applies a report of another instance that occupies no slot.
+    void reportAllIdle() { reportInFlight(0); }
+
+    void sendRequests(int requests)
+    {
+        for (int i = 0; i < requests; ++i) {
+            gateway.handle(makeCall(settings_, i, [this] { ++answered; }));
+        }
+    }
+
+    // Routes that send the requests of makeCall() to the service, whose targets allow the given
+    // requests a second in their cold start.
+    static std::shared_ptr<const RouteTable> makeRoutes(double coldPerSecond)
+    {
         ServiceSpec spec;
         spec.name = service;
+        spec.coldPerSecond = coldPerSecond;
         Route route;
         route.name = "views";
         route.host = "example.org";
@@ -43,30 +66,22 @@
         route.timeLimit = std::chrono::seconds(600);
         route.aim = std::chrono::seconds(300);
         route.objectAffinity = true;
-        auto table = RouteTable::create(1, {route}, {{service, spec}}, {});
-        gateway.setRoutes(value(table));
-        reportAllBusy();
+        return value(RouteTable::create(1, {route}, {{service, spec}}, {}));
     }
 
-    // Applies a report of another instance that occupies all slots.
-    void reportAllBusy() { reportInFlight(slots); }
-
-    // Applies a report of another instance that occupies no slot.
-    void reportAllIdle() { reportInFlight(0); }
-
-    void sendRequests(int requests)
+    // A request that arrives now. Requests of different positions are for different objects.
+    static Call makeCall(const GatewaySettings &settings, int position,
+                         const std::function<void()> &onAnswer)
     {
-        for (int i = 0; i < requests; ++i) {
-            auto request = std::make_shared<HttpRequestMessage>(http::verb::get, "/view", 11);
-            request->set(http::field::host, "example.org");
-            request->set(settings_.headers.objectKey, std::to_string(i));
-            Call call;
-            call.request = std::move(request);
-            call.arrival = Clock::now();
-            call.answer = [this](const HttpResponseMessage &) { ++answered; };
-            call.onGone = [](const std::function<void()> &) {};
-            gateway.handle(std::move(call));
-        }
+        auto request = std::make_shared<HttpRequestMessage>(http::verb::get, "/view", 11);
+        request->set(http::field::host, "example.org");
+        request->set(settings.headers.objectKey, std::to_string(position));
+        Call call;
+        call.request = std::move(request);
+        call.arrival = Clock::now();
+        call.answer = [onAnswer](const HttpResponseMessage &) { onAnswer(); };
+        call.onGone = [](const std::function<void()> &) {};
+        return call;
     }
 
     // The object key of a request of sendRequests(), by the position of the request.
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -144,6 +144,10 @@
         crashWatch_.merge(counts, Clock::now());
     }
 
+    // Sets the instances that the store lists. They share the common limits also before their first
+    // report arrives.
+    void setListedInstances(const std::vector<PeerIdentity> &instances);
+
     // Adds state that instances learned earlier. State learned by this instance takes precedence;
     // targets that have restarted since are left out.
     void restoreLearnedState(const LearnedState &state);
@@ -200,6 +204,12 @@
     [[nodiscard]] std::size_t coldPhaseShare(const std::string &service, const Target &target,
                                              TimePoint now) const;
     [[nodiscard]] InstanceRank rankFor(const Target &target, TimePoint now) const;
+    // Whether a report of the instance arrived so recently that it may still send requests.
+    [[nodiscard]] bool isHeard(const std::string &instance, TimePoint now) const;
+    // Whether the other instances that share the common limits are known.
+    [[nodiscard]] bool areInstancesKnown(TimePoint now) const;
+    // The number of instances that share the common limits; the highest number until it is known.
+    [[nodiscard]] std::size_t instanceCount(TimePoint now) const;
     [[nodiscard]] Duration roundTrip(const Target &target) const;
 
     // Attempts and their results (gateway_attempts.cc).
@@ -234,6 +244,10 @@
     std::shared_ptr<const RouteTable> table_;
     TargetRegistry registry_;
     FleetView fleet_;
+    // Zones, by id, of listed instances that were not heard when the list was read.
+    std::map<std::string, std::string> unheardZones_;
+    bool isInstanceListRead_ = false;
+    TimePoint createdAt_ = Clock::now();
     RunTimeEstimator runTimes_;
     SplitChoice splits_;
     TargetPool pool_;
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -302,8 +302,7 @@
     if (wasAttempted && isRepeatable && attemptsLeft && now < pending->deadlineAt
         && !isCrashSuspect(*pending)) {
         const bool needsBudget = pending->arrivals > 0;
-        if (!needsBudget
-            || retryLimiterOf(pending->service).tryAcquire(now, fleet_.peers().size() + 1)) {
+        if (!needsBudget || retryLimiterOf(pending->service).tryAcquire(now, instanceCount(now))) {
             metrics_.increment("vane_gateway_retries_total", {{"reason", std::string(reason)}});
             logEvent(Event::RequestRetried,
                      {{"request", pending->id},
@@ -311,7 +310,7 @@
                       {"runs", pending->runs},
                       {"window-requests", retryLimiterOf(pending->service).requests(now)},
                       {"window-retries", retryLimiterOf(pending->service).retries(now)},
-                      {"instances", fleet_.peers().size() + 1}});
+                      {"instances", instanceCount(now)}});
             enqueue(pending);
             return schedulePass(pending->service, PassScope::Affected);
         }
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -148,6 +148,7 @@
     };
     callbacks.onInstances = [this](const std::vector<PeerIdentity> &instances) {
         link_->setListedPeers(instances);
+        gateway_.setListedInstances(instances);
     };
     callbacks.onContentChanged = [this](const std::string &change) {
         if (feed_.isReader())
--- a/chestnutvane/process/gateway/gateway_test.cc
+++ b/chestnutvane/process/gateway/gateway_test.cc
@@ -206,6 +206,48 @@
     EXPECT_GT(refused, 0);
 }
 
+// Guards against instances that start together and each take the whole limit of a cold start,
+// because no report has arrived yet.
+TEST(GatewayTest, InstancesThatStartTogetherKeepTheLimitOfAColdStart)
+{
+    constexpr std::size_t instances = 27;
+    constexpr int allowed = 14; // 4 a second, times 1.5, and 8
+    std::vector<PeerIdentity> listed(instances);
+    for (std::size_t i = 0; i < instances; ++i) {
+        listed[i].id = "i" + std::to_string(i);
+        listed[i].zone = "near";
+    }
+    for (const bool isListRead : {false, true}) {
+        int sent = 0;
+        for (const PeerIdentity &instance : listed) {
+            net::io_context io;
+            Metrics metrics;
+            GatewaySettings settings;
+            settings.instanceId = instance.id;
+            settings.zone = "near";
+            settings.zoneRegions = {{"near", "here"}};
+            settings.coldSlack = 8;
+            Gateway gateway(io, settings, metrics);
+            TargetEntry entry;
+            entry.id = "cold";
+            entry.service = CrowdedGateway::service;
+            entry.address = "127.0.0.1:1";
+            entry.zone = "near";
+            entry.slots = 100;
+            entry.coldRemaining = std::chrono::seconds(60);
+            gateway.registry().replaceAll({entry}, Clock::now(), RemovalPolicy::Immediate);
+            gateway.setRoutes(CrowdedGateway::makeRoutes(4));
+            if (isListRead)
+                gateway.setListedInstances(listed);
+            for (int request = 0; request < 2; ++request)
+                gateway.handle(CrowdedGateway::makeCall(settings, request, [] {}));
+            sent += gateway.registry().all().begin()->second->inFlight;
+        }
+        EXPECT_LE(sent, allowed);
+        EXPECT_EQ(sent > 0, isListRead);
+    }
+}
+
 // Guards against a pause that is noticeable to callers of a small fleet.
 TEST(GatewayTest, ASmallFleetHasShortPauses)
 {
--- a/chestnutvane/process/gateway/send_limits_test.cc
+++ b/chestnutvane/process/gateway/send_limits_test.cc
@@ -1,6 +1,8 @@
 #include "chestnutvane/process/gateway/send_limits.h"
 
 #include <gtest/gtest.h>
+
+#include <limits>
 #include <rapidcheck/gtest.h>
 
 #include <random>
@@ -73,5 +75,13 @@
     EXPECT_TRUE(limiter.tryAcquire(start, 8));
 }
 
+// Guards against instances that start together and each spend the whole slack of the retries.
+TEST(RetryLimiterTest, AnInstanceThatKnowsNoOtherYetGetsNoSlack)
+{
+    RetryLimiter limiter({.ratio = 0.2, .slack = 200});
+    EXPECT_FALSE(limiter.tryAcquire(Clock::now(), std::numeric_limits<std::size_t>::max()));
+    EXPECT_TRUE(limiter.tryAcquire(Clock::now(), 2));
+}
+
 } // namespace
 } // namespace chestnutvane
