Pass on the age of the confirmation with content for a peer

Callers could see: requests at a target that drains, sent by an instance that started while the store was away.

Cause: since the status in reports has the age of the instance's own last read, and the content that a peer asks for was sent with the same age. A change that had been applied from the reader's report then looked as old as the read before it, so the older content of a peer that had missed the change replaced it. Class: one value with two meanings.

Content is now sent with the age of its last confirmation, rounded up. This does not make content look newer with each pass: the receiver counts the age from the moment at which it asked.

The test failed before (target 2 was ready again).

--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -233,8 +233,7 @@
         if (!feed_.hasAllContent())
             return call.answer(HttpResponseMessage(http::status::service_unavailable, 11));
         message.set(http::field::content_type, "application/cbor");
-        message.body() = encodeFeedContent(packedLists(), feed_.operatorStatus().age,
-                                           feed_.targetsStatus().age);
+        message.body() = encodeFeedContent(packedLists(), feed_.operatorAge(), feed_.targetsAge());
         return call.answer(std::move(message));
     }
     message.set(http::field::content_type, "text/plain");
--- a/chestnutvane/process/gateway/send_limits_test.cc
+++ b/chestnutvane/process/gateway/send_limits_test.cc
@@ -2,9 +2,9 @@
 
 #include <gtest/gtest.h>
 
-#include <limits>
 #include <rapidcheck/gtest.h>
 
+#include <limits>
 #include <random>
 
 namespace chestnutvane {
--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -220,15 +220,14 @@
     return operatorFreshness_.status(BootClock::now());
 }
 
-Duration StoreFeed::targetsAge() const
+Milliseconds StoreFeed::targetsAge() const
 {
-    return std::chrono::duration_cast<Duration>(BootClock::now() - targetsFreshness_.confirmedAt());
+    return std::chrono::ceil<Milliseconds>(BootClock::now() - targetsFreshness_.confirmedAt());
 }
 
-Duration StoreFeed::operatorAge() const
+Milliseconds StoreFeed::operatorAge() const
 {
-    return std::chrono::duration_cast<Duration>(BootClock::now()
-                                                - operatorFreshness_.confirmedAt());
+    return std::chrono::ceil<Milliseconds>(BootClock::now() - operatorFreshness_.confirmedAt());
 }
 
 void StoreFeed::renewLease()
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store_feed.h
@@ -108,8 +108,8 @@
     [[nodiscard]] FeedStatus operatorStatus() const;
 
     // Time since the content was last known to match the store, by an own read or a peer's.
-    [[nodiscard]] Duration targetsAge() const;
-    [[nodiscard]] Duration operatorAge() const;
+    [[nodiscard]] Milliseconds targetsAge() const;
+    [[nodiscard]] Milliseconds operatorAge() const;
 
     // Whether the content of both prefixes has been read from the store or received from a peer.
     [[nodiscard]] bool hasAllContent() const;
--- a/chestnutvane/process/gateway/store_feed_content.cc
+++ b/chestnutvane/process/gateway/store_feed_content.cc
@@ -59,8 +59,8 @@
 
 FeedContent StoreFeed::content() const
 {
-    return {{loops_[indexOf(Loop::Operator)].lastList, operatorStatus().age},
-            {loops_[indexOf(Loop::Targets)].lastList, targetsStatus().age}};
+    return {{loops_[indexOf(Loop::Operator)].lastList, operatorAge()},
+            {loops_[indexOf(Loop::Targets)].lastList, targetsAge()}};
 }
 
 void StoreFeed::applyPeerContent(const FeedContent &content, BootTime requestedAt)
--- a/chestnutvane/process/gateway/store_feed_test.cc
+++ b/chestnutvane/process/gateway/store_feed_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include <boost/asio/io_context.hpp>
 
 namespace chestnutvane {
@@ -292,5 +294,32 @@
     EXPECT_TRUE(targetStates_.empty());
 }
 
+// Guards against older content of a peer that replaces a newer change, because the change looks as
+// old as the last read of the peer that passed it on.
+TEST_F(StoreFeedTest, OlderContentDoesNotUndoAChangeThatAPeerPassedOn)
+{
+    constexpr auto betweenReads = 60ms; // more than reports are assumed to take
+    auto [reader, passedOn] = startPair();
+    std::this_thread::sleep_for(betweenReads);
+    auto missed = makeFeed("missed");
+    missed->start();
+    runUntilTargets("missed", {{"1", "ready"}, {"2", "ready"}});
+    missed->setReader(false);
+    reader->setReader(true);
+    std::this_thread::sleep_for(betweenReads);
+    lists_["t/"] = targets({{"t/1", "3"}, {"t/2", "3 draining"}}, 2);
+    runUntilTargets("reader", {{"1", "ready"}, {"2", "draining"}});
+    passedOn->onPeerReport(reportOf(*reader, lastChange_));
+    ASSERT_EQ(targetStates_["other"]["2"], "draining");
+    storeUnavailable_ = true;
+    auto starting = makeFeed("starting");
+    starting->start();
+    starting->applyPeerContent(passedOn->content(), BootClock::now());
+    starting->setReader(false);
+    ASSERT_EQ(targetStates_["starting"]["2"], "draining");
+    starting->applyPeerContent(missed->content(), BootClock::now());
+    EXPECT_EQ(targetStates_["starting"]["2"], "draining");
+}
+
 } // namespace
 } // namespace chestnutvane
