Direct callers to instances in proportion to their cores

Cause: the directory named all instances of a region, and callers pick one of the named at random, so instances of 0.1 and 0.5 cores got the same number of requests (478 and 563 log lines each in a busy 18 s). Class: an equal share for unequal members.

Each instance states its cores (--core-share, from the platform's settings), in its entry and its reports. A caller is told of an instance if a hash of both lies below the instance's part of the largest share, and of four at least. So a caller is told the same ones each time and keeps its connections. Older instances state nothing and count as one core.

--- a/chestnutvane/process/gateway/directory.h
+++ b/chestnutvane/process/gateway/directory.h
@@ -1,5 +1,10 @@
 // Selects the instances that a caller may connect to, for the directory.
 //
+// Callers pick one of the named instances at random, whatever its size. So an instance with few
+// processor cores is named to fewer callers: with a fifth of the cores of the largest one to a
+// fifth of them. A caller is told the same instances each time, as it closes its connections to
+// others.
+//
 // Example:
 //
 //   auto addresses = instancesFor(query, instances, table.get());
@@ -21,6 +26,7 @@
     std::string zone;
     std::string region;
     bool serving = true; // false: stopping, or starting and without routes or targets
+    double coreShare = 1; // processor cores that it may use
 };
 
 struct DirectoryQuery
@@ -28,15 +34,19 @@
     std::string host;
     std::string region; // region of the caller
     std::string zone;
+    std::string caller; // the caller's IP address
 };
 
+// Named to each caller at least, so that it has others when one fails.
+inline constexpr std::size_t minDirectoryAddresses = 4;
 // Maximum number of addresses in a response.
 inline constexpr std::size_t maxDirectoryAddresses = 64;
 
 // Returns the caller addresses of the serving instances of the caller's region. If there are none,
 // returns those in the home regions of the host's routes; if there are none either, those of all
 // regions. Instances that are not serving are returned only if no instance is serving. Without a
-// table the homes are unknown, so only instances of the caller's region are returned, or none.
+// table the homes are unknown, so only instances of the caller's region are returned, or none. Of
+// each group a part is chosen by the caller and the instances' cores.
 std::vector<std::string> instancesFor(const DirectoryQuery &query,
                                       const std::vector<DirectoryInstance> &instances,
                                       const RouteTable *table);
--- a/chestnutvane/process/gateway/directory_test.cc
+++ b/chestnutvane/process/gateway/directory_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 namespace chestnutvane {
 namespace {
 
@@ -59,5 +61,55 @@
     EXPECT_EQ(instancesFor(fromTaipei, {elsewhere}, nullptr), Addresses{});
 }
 
+// A region of the second grown site: 6 instances of 0.5 cores and 16 of 0.1.
+std::vector<DirectoryInstance> mixedRegion()
+{
+    std::vector<DirectoryInstance> instances;
+    for (int i = 0; i < 22; ++i)
+        instances.push_back({"10.0.0." + std::to_string(i) + ":80", "tpe-a", "taipei", true,
+                             i < 6 ? 0.5 : 0.1});
+    return instances;
+}
+
+DirectoryQuery queryOf(int caller)
+{
+    return {"a.example", "taipei", "tpe-a",
+            "10.1." + std::to_string(caller / 250) + "." + std::to_string(caller % 250)};
+}
+
+// Guards against small instances without processor time to spare because callers are directed to
+// all instances alike. Callers send the same number of requests to each instance they are told of.
+TEST(DirectoryTest, CallersAreDirectedInProportionToCores)
+{
+    constexpr int callers = 4000;
+    const auto instances = mixedRegion();
+    std::map<std::string, double> load;
+    for (int caller = 0; caller < callers; ++caller) {
+        const auto named = instancesFor(queryOf(caller), instances, nullptr);
+        EXPECT_GE(named.size(), minDirectoryAddresses);
+        for (const std::string &address : named)
+            load[address] += 1.0 / static_cast<double>(named.size());
+    }
+    constexpr double cores = 6 * 0.5 + 16 * 0.1;
+    for (const DirectoryInstance &instance : instances) {
+        const double even = callers * instance.coreShare / cores;
+        EXPECT_NEAR(load[instance.callerAddress], even, even * 0.25) << instance.callerAddress;
+    }
+}
+
+// Guards against callers that close connections at each look-up because they are told of others.
+TEST(DirectoryTest, ACallerKeepsItsInstancesWhileAnotherLeaves)
+{
+    constexpr int callers = 100;
+    auto fewer = mixedRegion();
+    const std::string gone = fewer.front().callerAddress;
+    fewer.front().serving = false;
+    for (int caller = 0; caller < callers; ++caller) {
+        auto before = instancesFor(queryOf(caller), mixedRegion(), nullptr);
+        std::erase(before, gone);
+        EXPECT_EQ(instancesFor(queryOf(caller), fewer, nullptr), before);
+    }
+}
+
 } // namespace
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -36,7 +36,8 @@
 PeerIdentity identityOf(const GatewaySettings &settings)
 {
     return {settings.instanceId,    randomIncarnation(),    settings.zone,
-            settings.callerAddress, settings.reportAddress, settings.metricsAddress};
+            settings.callerAddress, settings.reportAddress, settings.metricsAddress,
+            settings.coreShare};
 }
 
 } // namespace
@@ -199,9 +200,10 @@
 void GatewayProcess::answerDirectory(Call call)
 {
     const auto target = call.request->target();
-    const auto query = platform_.decodeQuery({target.data(), target.size()});
+    auto query = platform_.decodeQuery({target.data(), target.size()});
     if (!query)
         return call.answer(HttpResponseMessage(http::status::not_found, 11));
+    query->caller = call.peer.substr(0, call.peer.rfind(':'));
     const auto addresses = instancesFor(*query, instances(), gateway_.routes().get());
     HttpResponseMessage message(http::status::ok, 11);
     message.set(http::field::content_type, "application/json");
@@ -245,7 +247,7 @@
 {
     const auto toDirectoryInstance = [this](const PeerIdentity &peer, bool serving) {
         return DirectoryInstance{peer.callerAddress, peer.zone, settings_.regionOf(peer.zone),
-                                 serving};
+                                 serving, peer.coreShare};
     };
     std::vector<DirectoryInstance> result{toDirectoryInstance(self_, isReady())};
     const TimePoint now = Clock::now();
--- a/chestnutvane/process/gateway/gateway_settings.cc
+++ b/chestnutvane/process/gateway/gateway_settings.cc
@@ -97,6 +97,7 @@
     using S = GatewaySettings;
     constexpr double maxSeconds = 600;
     constexpr double maxCount = 100000;
+    constexpr double minCoreShare = 0.001;
     return {
             {"instance-id", "", "name of this instance, unique in the fleet",
              textSetter(&S::instanceId)},
@@ -111,6 +112,9 @@
             {"report-address", "", "IP:port (UDP) for load reports of other instances",
              addressSetter(&S::reportAddress)},
             {"store-url", "", "http://IP:port of the platform's store", setStoreUrl},
+            {"core-share", "1",
+             "processor cores that this instance may use; callers are directed in proportion",
+             numberSetter(minCoreShare, maxCount, [](S &s, double v) { s.coreShare = v; })},
             {"stop-grace", "6", "seconds from SIGTERM to the end of the process",
              secondsSetter(0.1, maxSeconds, [](S &s, Milliseconds v) { s.stopGrace = v; })},
             {"directory-ttl", "2", "seconds for which callers may cache a directory response",
--- a/chestnutvane/process/gateway/gateway_settings.h
+++ b/chestnutvane/process/gateway/gateway_settings.h
@@ -34,6 +34,7 @@
     std::string metricsAddress;
     std::string reportAddress; // UDP address for load reports of other instances
     std::string storeUrl; // "http://IP:port"
+    double coreShare = 1; // processor cores that this instance may use
     Milliseconds stopGrace{6000}; // from SIGTERM to the end of the process
     Milliseconds directoryTtl{2000}; // how long callers may cache a directory response
     RetryLimit retryLimit;
--- a/chestnutvane/process/gateway/instance_entry.cc
+++ b/chestnutvane/process/gateway/instance_entry.cc
@@ -13,7 +13,8 @@
                 {"zone", peer.zone},
                 {"caller-address", peer.callerAddress},
                 {"report-address", peer.reportAddress},
-                {"metrics-address", peer.metricsAddress}}
+                {"metrics-address", peer.metricsAddress},
+                {"core-share", peer.coreShare}}
             .dump();
 }
 
@@ -26,7 +27,8 @@
                             json.at("zone"),
                             json.at("caller-address"),
                             json.at("report-address"),
-                            json.at("metrics-address")};
+                            json.at("metrics-address"),
+                            json.value("core-share", 1.0)};
     } catch (const Json::exception &) {
         return std::nullopt;
     }
--- a/chestnutvane/process/gateway/load_report.cc
+++ b/chestnutvane/process/gateway/load_report.cc
@@ -73,6 +73,7 @@
         for (const auto &text : {report.sender.id, report.sender.zone, report.sender.callerAddress,
                                  report.sender.reportAddress, report.sender.metricsAddress})
             identity.push_back(text);
+        identity.push_back(report.sender.coreShare);
     }
     Json list = Json::array({formatVersion, identity, static_cast<int>(report.state),
                              report.sequence, report.revision, encodeCounts(report.inFlight),
@@ -103,6 +104,8 @@
             report.sender = {identity.at(1), report.sender.incarnation,
                              identity.at(2), identity.at(3),
                              identity.at(4), identity.at(5)};
+        if (constexpr std::size_t coreShareAt = 6; identity.size() > coreShareAt)
+            report.sender.coreShare = identity.at(coreShareAt);
         const int state = list.at(2);
         if (state < 0 || state > static_cast<int>(PeerState::Stopping))
             return ReportError{"unknown peer state in load report: " + std::to_string(state)};
--- a/chestnutvane/process/gateway/load_report.h
+++ b/chestnutvane/process/gateway/load_report.h
@@ -51,6 +51,7 @@
     std::string callerAddress; // "IP:port" where callers connect
     std::string reportAddress; // "IP:port" for datagrams from other instances
     std::string metricsAddress; // "IP:port"; also serves the feed content to peers
+    double coreShare = 1; // processor cores that the instance may use
 
     friend bool operator==(const PeerIdentity &, const PeerIdentity &) = default;
 };
