Do not end a store outage by a watch that returns no changes

Cause: an answer to a watch without changes did not count as a contact, but still set the store reachable. A watch that was sent before the store became slow ends up to 10 s later, while all other calls time out.

Class: the end of a long wait was taken for a statement about the present. Now such an answer changes neither the contact nor the reachability; it is only counted. The rule stays safe: a takeover needs a renewed lease, which is an answered call that peers see in the heartbeat, and watches with changes, lists and all other calls count as before.

Ruled out: peers that report a contact, as the instances logged store-failed again 3.0 s after the first time, which needs an answered call between.

--- a/chestnutvane/process/broker_role.h
+++ b/chestnutvane/process/broker_role.h
@@ -68,7 +68,7 @@
     bool selfLeaving = false;
     std::span<const RoleMember> members; // of the region, including the own entry
     std::optional<RoleEntry> entry; // empty if the key has not been read since process start
-    bool storeReachable = false; // the last store call succeeded
+    bool storeReachable = false; // see StoreContact
     TimePoint storeReachableSince; // end of the last outage, or the first contact
     // According to the store, the incarnation in the record has no lease key.
     bool holderLeaseEnded = false;
--- a/chestnutvane/process/instance.cc
+++ b/chestnutvane/process/instance.cc
@@ -44,15 +44,15 @@
     constexpr Milliseconds maxWatchWait{10'000};
     auto recordAndForward = [this, prefix, isFirst = !afterVersion, callback = std::move(callback)](
                                     Result<WatchResult, StoreError> result) {
-        bool hasChanges = true;
+        bool isProof = true;
         if (isOk(result)) {
             const auto digest = digestOf(value(result).entries);
-            hasChanges = membership.use([&](MembershipState &state) {
+            isProof = membership.use([&](MembershipState &state) {
                 const auto former = std::exchange(state.store.watchedDigests[prefix], digest);
                 return former != digest;
             }) || isFirst;
         }
-        recordStoreCall(isStoreAnswer(result), Clock::now(), hasChanges);
+        recordStoreCall(isStoreAnswer(result), Clock::now(), isProof);
         callback(std::move(result));
     };
     if (!afterVersion)
@@ -61,16 +61,18 @@
         store.watch(prefix, *afterVersion, maxWatchWait, std::move(recordAndForward));
 }
 
-void Instance::recordStoreCall(bool answered, TimePoint now, bool hasChanges)
+void Instance::recordStoreCall(bool answered, TimePoint now, bool isProof)
 {
     metrics.increment("vane_store_calls_total", {{"answered", answered ? "yes" : "no"}});
+    if (!isProof)
+        return;
     const bool lost = membership.use([&](MembershipState &state) {
         auto &contact = state.store;
         const bool wasReachable = contact.reachable;
         if (answered && !contact.reachable)
             contact.reachableSince = now;
         contact.reachable = answered;
-        if (answered && hasChanges)
+        if (answered)
             contact.lastAnswer = now;
         return wasReachable && !answered;
     });
--- a/chestnutvane/process/instance.h
+++ b/chestnutvane/process/instance.h
@@ -51,7 +51,7 @@
     std::optional<TimePoint> lastAnswer; // end of the last answered call, see recordStoreCall()
     // Digest of the keys and versions of the last watch result, by watched prefix.
     std::map<std::string, std::uint64_t> watchedDigests;
-    bool reachable = false; // whether the store answered the last call
+    bool reachable = false; // whether the store answered the last call that proves either
     TimePoint reachableSince; // end of the last outage
     std::uint64_t leaseId = 0; // 0: none
     TimePoint renewalStart; // start of the last renewal that succeeded
@@ -125,11 +125,12 @@
     void watchStore(const std::string &prefix, std::optional<std::uint64_t> afterVersion,
                     std::function<void(Result<WatchResult, StoreError>)> callback);
 
-    // Records the end of a store call. "answered" is false if the store could not be reached. An
-    // answer to a watch without changes does not count as a contact: it gives no reason to acquire
-    // a role, and a watch that was sent in time may end long after the store became too slow for
-    // other calls.
-    void recordStoreCall(bool answered, TimePoint now, bool hasChanges = true);
+    // Records the end of a store call. "answered" is false if the store could not be reached. A
+    // call whose end says nothing about the store at that time is not a proof: it is counted and
+    // changes neither the last contact nor whether the store is reachable. An answer to a watch
+    // without changes is such an end: it gives no reason to acquire a role, and a watch that was
+    // sent in time may end long after the store became too slow for other calls.
+    void recordStoreCall(bool answered, TimePoint now, bool isProof = true);
 };
 
 // Parses an incarnation of 32 hexadecimal digits; returns zero for a text of another length.
