Do not begin a store outage by a watch that fails late

Found when looking for further places where the end of a watch is taken for a statement about the present. No caller was seen to meet it.

Cause: a watch that fails set the store unreachable. One that was sent before or in an outage in which connections fall silent fails up to 12 s after its start, when other calls may have been answered again for long. The instance then logged an outage that was over, paused its moves until the next answer, and took the end of the outage anew, so a role whose holder was gone was acquired 1.5 s after that (outageSettleTime) and not after the true end.

Now a failed watch is no proof if another call was answered after the watch was sent. The next call decides then, at the latest the next lease renewal. A watch that is sent again after a failure starts anew, so a store that refuses connections is noticed as before by its first failed call.

Evidence: InstanceTest.WatchThatFailsLateDoesNotBeginAnOutage failed before. A further test holds the case in which only watches have noticed an outage; it passed before and after.

--- a/chestnutvane/process/instance.cc
+++ b/chestnutvane/process/instance.cc
@@ -42,8 +42,9 @@
                           std::function<void(Result<WatchResult, StoreError>)> callback)
 {
     constexpr Milliseconds maxWatchWait{10'000};
-    auto recordAndForward = [this, prefix, isFirst = !afterVersion, callback = std::move(callback)](
-                                    Result<WatchResult, StoreError> result) {
+    auto recordAndForward = [this, prefix, startedAt = Clock::now(), isFirst = !afterVersion,
+                             callback =
+                                     std::move(callback)](Result<WatchResult, StoreError> result) {
         bool isProof = true;
         if (isOk(result)) {
             const auto digest = digestOf(value(result).entries);
@@ -51,6 +52,10 @@
                 const auto former = std::exchange(state.store.watchedDigests[prefix], digest);
                 return former != digest;
             }) || isFirst;
+        } else if (!isStoreAnswer(result)) {
+            isProof = membership.use([startedAt](const MembershipState &state) {
+                return !(state.store.lastAnswer > startedAt);
+            });
         }
         recordStoreCall(isStoreAnswer(result), Clock::now(), isProof);
         callback(std::move(result));
--- a/chestnutvane/process/instance.h
+++ b/chestnutvane/process/instance.h
@@ -127,9 +127,10 @@
 
     // Records the end of a store call. "answered" is false if the store could not be reached. A
     // call whose end says nothing about the store at that time is not a proof: it is counted and
-    // changes neither the last contact nor whether the store is reachable. An answer to a watch
-    // without changes is such an end: it gives no reason to acquire a role, and a watch that was
-    // sent in time may end long after the store became too slow for other calls.
+    // changes neither the last contact nor whether the store is reachable. Two ends of a watch,
+    // which may come 12 s after its start, are no proof. An answer without changes gives no reason
+    // to acquire a role and may come long after the store became too slow for other calls. A
+    // failure may be that of an outage that is over, if another call was answered since the start.
     void recordStoreCall(bool answered, TimePoint now, bool isProof = true);
 };
 
--- a/chestnutvane/process/instance_test.cc
+++ b/chestnutvane/process/instance_test.cc
@@ -87,5 +87,28 @@
     EXPECT_LT(grantUntil(now), now) << "another instance may acquire the role";
 }
 
+// Guards against a takeover that waits for the end of an outage that is over: a watch sent before
+// or in it fails up to 12 s later, when other calls have long been answered again.
+TEST_F(InstanceTest, WatchThatFailsLateDoesNotBeginAnOutage)
+{
+    readAndWatch();
+    const auto answeredAt = Clock::now() + Milliseconds(1);
+    instance.recordStoreCall(false, answeredAt);
+    instance.recordStoreCall(true, answeredAt);
+    endWatch(StoreError{});
+    EXPECT_TRUE(isReachable());
+    const auto since = instance.membership.use(
+            [](MembershipState &state) { return state.store.reachableSince; });
+    EXPECT_EQ(since, answeredAt);
+}
+
+// Guards against an outage that only watches have noticed so far.
+TEST_F(InstanceTest, WatchThatFailsWithoutAnswersSinceItsStartBeginsAnOutage)
+{
+    readAndWatch();
+    endWatch(StoreError{});
+    EXPECT_FALSE(isReachable());
+}
+
 } // namespace
 } // namespace chestnutvane
