Let an instance with the most cores read the store for its region

Cause: the reader of a region was the instance with the lowest hash. A busy reader also looks older than the time-out, and then all others read as well. Class: an equal choice among unequal members.

Candidates are now ordered by cores, then by hash. The test failed before.

--- a/chestnutvane/process/gateway/feed_sharing.cc
+++ b/chestnutvane/process/gateway/feed_sharing.cc
@@ -1,6 +1,7 @@
 #include "chestnutvane/process/gateway/feed_sharing.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "chestnutvane/base/hash.h"
 
@@ -60,11 +61,13 @@
     return now < staleUntil_ || now - lastTick_ > stallThreshold;
 }
 
-bool isReader(const std::string &self, const std::vector<ReaderCandidate> &others)
+bool isReader(const ReaderCandidate &self, const std::vector<ReaderCandidate> &others)
 {
-    const std::uint64_t ownHash = hash64(self);
-    return std::none_of(others.begin(), others.end(), [ownHash](const ReaderCandidate &other) {
-        return other.age < confirmationTimeout && hash64(other.id) < ownHash;
+    const auto order = [](const ReaderCandidate &candidate) {
+        return std::pair(-candidate.coreShare, hash64(candidate.id));
+    };
+    return std::none_of(others.begin(), others.end(), [&](const ReaderCandidate &other) {
+        return other.age < confirmationTimeout && order(other) < order(self);
     });
 }
 
--- a/chestnutvane/process/gateway/feed_sharing.h
+++ b/chestnutvane/process/gateway/feed_sharing.h
@@ -117,15 +117,17 @@
 // A gap between two ticks that is longer than this counts as a stall.
 inline constexpr Milliseconds stallThreshold{400};
 
-// A peer in the same region that may be the reader.
+// An instance of the region that may be the reader.
 struct ReaderCandidate
 {
     std::string id;
     Milliseconds age{0}; // since its last read of the store
+    double coreShare = 1; // processor cores that it may use
 };
 
-// Whether the instance `self` is the reader of its region. The reader is the instance with the
-// lowest hash of its id among those that read the store within confirmationTimeout.
-bool isReader(const std::string &self, const std::vector<ReaderCandidate> &others);
+// Whether the instance `self` is the reader of its region. The reader is the instance with the most
+// cores, then the one with the lowest hash of its id, among those that read the store within
+// confirmationTimeout. The age of `self` does not count.
+bool isReader(const ReaderCandidate &self, const std::vector<ReaderCandidate> &others);
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/feed_sharing_test.cc
+++ b/chestnutvane/process/gateway/feed_sharing_test.cc
@@ -164,7 +164,7 @@
             if (other != id)
                 others.push_back({other, 100ms});
         }
-        if (isReader(id, others)) {
+        if (isReader({id}, others)) {
             ++readers;
             reader = id;
         }
@@ -177,10 +177,22 @@
             if (other != id)
                 others.push_back({other, other == reader ? Milliseconds(2000) : Milliseconds(100)});
         }
-        next += id != reader && isReader(id, others) ? 1 : 0;
+        next += id != reader && isReader({id}, others) ? 1 : 0;
     }
     EXPECT_EQ(next, 1);
 }
 
+// Guards against a region that gets its content late because a small, busy instance reads it.
+TEST(FeedSharingTest, AnInstanceWithTheMostCoresReads)
+{
+    const ReaderCandidate large{"large", 100ms, 0.5};
+    for (int i = 0; i < 20; ++i) {
+        const ReaderCandidate small{"small-" + std::to_string(i), 100ms, 0.1};
+        EXPECT_TRUE(isReader(large, {small}));
+        EXPECT_FALSE(isReader(small, {large}));
+        EXPECT_TRUE(isReader(small, {{"large", 2000ms, 0.5}}));
+    }
+}
+
 } // namespace
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -321,9 +321,9 @@
             || now - peer.receivedAt > FleetView::livenessTimeout)
             continue;
         const auto since = std::chrono::duration_cast<Milliseconds>(now - peer.receivedAt);
-        others.push_back({id, report.targetsFeed.age + since});
+        others.push_back({id, report.targetsFeed.age + since, report.sender.coreShare});
     }
-    feed_.setReader(isReader(self_.id, others));
+    feed_.setReader(isReader({self_.id, Milliseconds{0}, self_.coreShare}, others));
 }
 
 // While the store is unreachable, a starting instance knows neither routes nor targets. If it ran
