--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -310,7 +310,7 @@
                       {"runs", pending->runs},
                       {"window-requests", retryLimiterOf(pending->service).requests(now)},
                       {"window-retries", retryLimiterOf(pending->service).retries(now)},
-                      {"instances", instanceCount(now)}});
+                      {"instances", areInstancesKnown(now) ? instanceCount(now) : 0}});
             enqueue(pending);
             return schedulePass(pending->service, PassScope::Affected);
         }
