Handle all reports that wait in one turn of the event loop

Cause: an instance handled one report for each turn of its loop. Reports say how old content was when they were sent, so it looked fresh. The stall detector only sees late timers.

Now up to 256 waiting reports are handled in a turn.

--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -15,6 +15,9 @@
 // The full identity of the sender is sent once in this time, so that a peer that missed it receives
 // it before it considers the sender dead.
 constexpr Milliseconds identityPeriod{900};
+// Datagrams that are processed before other work goes on: about as many as 80 instances send in
+// half a second.
+constexpr int maxDatagramsPerTurn = 256;
 // Reports are no longer sent to a peer that is not listed and has not been heard from for this
 // time.
 constexpr std::chrono::seconds receiverRetention{30};
@@ -132,10 +135,26 @@
                                        return;
                                    if (!failure) // other failures are those of earlier sends
                                        onDatagram(bytes);
+                                   receiveWaiting();
                                    receive();
                                });
 }
 
+// Processes the datagrams that have arrived already. One for each turn of the event loop would let
+// a busy instance fall seconds behind, and old reports would look new.
+void FleetLink::receiveWaiting()
+{
+    for (int i = 0; i < maxDatagramsPerTurn; ++i) {
+        Error failure;
+        const std::size_t bytes =
+                socket_.receive_from(net::buffer(buffer_), senderEndpoint_, 0, failure);
+        if (failure == net::error::would_block)
+            return;
+        if (!failure)
+            onDatagram(bytes);
+    }
+}
+
 void FleetLink::onDatagram(std::size_t bytes)
 {
     auto report = decodeReport({buffer_.data(), bytes});
--- a/chestnutvane/process/gateway/fleet_link.h
+++ b/chestnutvane/process/gateway/fleet_link.h
@@ -123,6 +123,7 @@
               Gateway &gateway);
 
     void receive();
+    void receiveWaiting();
     void onDatagram(std::size_t bytes);
     // Schedules a report, with the warm object of a new attempt unless that is null.
     void onLoadChange(const WarmObject *warmObject);
--- a/chestnutvane/process/gateway/fleet_link_test.cc
+++ b/chestnutvane/process/gateway/fleet_link_test.cc
@@ -32,5 +32,41 @@
     }
 }
 
+// Guards against a busy instance that handles one report for each turn of its event loop, falls
+// seconds behind and takes old content for new.
+TEST(FleetLinkTest, ReportsThatWaitAreHandledWithinFewTurns)
+{
+    using Udp = net::ip::udp;
+    constexpr std::size_t senders = 100;
+    constexpr int turns = 5;
+    net::io_context io;
+    Metrics metrics;
+    GatewaySettings settings;
+    settings.zone = "near";
+    settings.zoneRegions = {{"near", "here"}};
+    Gateway gateway(io, settings, metrics);
+    Udp::socket sender(io, Udp::endpoint(net::ip::address_v4::loopback(), 0));
+    Udp::endpoint receiver;
+    {
+        const Udp::socket freePort(io, Udp::endpoint(net::ip::address_v4::loopback(), 0));
+        receiver = freePort.local_endpoint();
+    }
+    PeerIdentity self;
+    self.id = "self";
+    self.zone = "near";
+    self.reportAddress = "127.0.0.1:" + std::to_string(receiver.port());
+    const auto link = FleetLink::create(io, self, settings, gateway);
+    ASSERT_TRUE(isOk(link));
+    for (std::size_t i = 1; i <= senders; ++i) {
+        LoadReport report;
+        report.sender = {"peer-" + std::to_string(i), i, "near", "a", "127.0.0.1:1", "c"};
+        report.sequence = 1;
+        sender.send_to(net::buffer(encodeReport(report)), receiver);
+    }
+    for (int turn = 0; turn < turns; ++turn)
+        io.run_one();
+    EXPECT_EQ(gateway.fleet().peers().size(), senders);
+}
+
 } // namespace
 } // namespace chestnutvane
