--- a/chestnutvane/connection/http_client_bounds_test.cc
+++ b/chestnutvane/connection/http_client_bounds_test.cc
@@ -78,6 +78,7 @@
     {
         const auto client = makeClient();
         std::vector<std::future<HttpResult>> results;
+        results.reserve(exchanges);
         for (int i = 0; i < exchanges; ++i)
             results.push_back(send(*client,
                                    {.url = "http://" + server.address() + "/x",
