--- a/chestnutvane/process/gateway/directory_test.cc
+++ b/chestnutvane/process/gateway/directory_test.cc
@@ -64,8 +64,10 @@
 // A region of the second grown site: 6 instances of 0.5 cores and 16 of 0.1.
 std::vector<DirectoryInstance> mixedRegion()
 {
+    constexpr int size = 22;
     std::vector<DirectoryInstance> instances;
-    for (int i = 0; i < 22; ++i)
+    instances.reserve(size);
+    for (int i = 0; i < size; ++i)
         instances.push_back({"10.0.0." + std::to_string(i) + ":80", "tpe-a", "taipei", true,
                              i < 6 ? 0.5 : 0.1});
     return instances;
