Let a test end its attempts before its gateways

LeakSanitizer found leaks in gateway_test on: attempts of InstancesThatStartTogetherKeepTheLimitOfAColdStart outlived their gateways. Each gateway now gets one request, whose answer is awaited.

--- a/chestnutvane/process/gateway/gateway_test.cc
+++ b/chestnutvane/process/gateway/gateway_test.cc
@@ -243,9 +243,11 @@
             gateway.setRoutes(CrowdedGateway::makeRoutes(4));
             if (isListRead)
                 gateway.setListedInstances(listed);
-            for (int request = 0; request < 2; ++request)
-                gateway.handle(CrowdedGateway::makeCall(settings, request, [] {}));
+            bool isAnswered = false;
+            gateway.handle(CrowdedGateway::makeCall(settings, 0, [&] { isAnswered = true; }));
             sent += gateway.registry().all().begin()->second->inFlight;
+            while (!isAnswered) // an attempt must not outlive the gateway
+                ASSERT_GT(io.run_one(), 0U);
         }
         EXPECT_LE(sent, allowed);
         EXPECT_EQ(sent > 0, isListRead);
