Bound the parts of requests that belong to no body

Cause: the connection of a caller kept what the parser did not take, and the parser takes a chunk line or a block of trailer fields only as a whole. The directory, readiness and metrics ports used the default limit for bodies.

Fix: framing_limits holds the figures for all parts of messages that are no body; a caller's connection asks it whenever the parser takes nothing (400 or 431 and a close). Refusals of unreadable requests have a log line with the caller and a counter by port and status.

--- a/chestnutvane/connection/caller_connection.cc
+++ b/chestnutvane/connection/caller_connection.cc
@@ -18,9 +18,9 @@
 {
 public:
     Listener(net::io_context &io, CallHandler handler,
-             std::function<CallerConnectionLimits()> limits)
+             std::function<CallerConnectionLimits()> limits, RefusalObserver onRefused)
         : acceptor_(io),
-          retryTimer_(io), environment_{std::move(handler), std::move(limits),
+          retryTimer_(io), environment_{std::move(handler), std::move(limits), std::move(onRefused),
                                         [this] { return closing_; },
                                         [this](const auto &session) { sessions_.erase(session); }}
     { }
@@ -130,9 +130,10 @@
 
 Result<std::shared_ptr<CallerListener>, ListenError>
 CallerListener::create(net::io_context &io, const std::string &endpoint, CallHandler handler,
-                       std::function<CallerConnectionLimits()> limits)
+                       std::function<CallerConnectionLimits()> limits, RefusalObserver onRefused)
 {
-    auto listener = std::make_shared<internal::Listener>(io, std::move(handler), std::move(limits));
+    auto listener = std::make_shared<internal::Listener>(io, std::move(handler), std::move(limits),
+                                                         std::move(onRefused));
     if (auto failure = listener->open(endpoint))
         return ListenError{endpoint, *failure};
     listener->accept();
--- a/chestnutvane/connection/caller_connection.h
+++ b/chestnutvane/connection/caller_connection.h
@@ -47,6 +47,10 @@
 
 using CallHandler = std::function<void(Call)>;
 
+// Called for each request that is refused before it reaches the handler, because it is malformed,
+// above a limit or too slow: "IP:port" of the caller, and the status of the answer.
+using RefusalObserver = std::function<void(const std::string &peer, http::status status)>;
+
 struct ListenError
 {
     std::string endpoint;
@@ -60,7 +64,7 @@
     // Starts to listen on "IP:port". The limits are read at the start of each request.
     static Result<std::shared_ptr<CallerListener>, ListenError>
     create(net::io_context &io, const std::string &endpoint, CallHandler handler,
-           std::function<CallerConnectionLimits()> limits);
+           std::function<CallerConnectionLimits()> limits, RefusalObserver onRefused = {});
 
     virtual ~CallerListener() = default;
 
--- a/chestnutvane/connection/caller_connection_test.cc
+++ b/chestnutvane/connection/caller_connection_test.cc
@@ -214,6 +214,67 @@
     EXPECT_EQ(calls_, 0);
 }
 
+// Sends a head and then pieces until an answer comes or the bytes are sent; returns the answer's
+// head.
+std::string answerToEndless(std::uint16_t port, const std::string &head, const std::string &piece)
+{
+    constexpr std::size_t longest = 4U << 20U;
+    RawClient client(port);
+    client.send(head);
+    std::string answer;
+    for (std::size_t sent = 0; sent < longest && answer.empty(); sent += piece.size()) {
+        client.send(piece);
+        answer = client.readUntil("\r\n\r\n", 1ms);
+    }
+    return answer.empty() ? client.readUntil("\r\n\r\n", 500ms) : answer;
+}
+
+// Guards against an instance that ends for want of memory because a caller sends a part of a
+// request that is no body without end: such bytes stayed in the buffer of the connection.
+TEST_F(CallerConnectionTest, PartsWithoutEndAreRefused)
+{
+    start();
+    const std::string piece(8000, 'a');
+    const std::string fields = "X-A: " + std::string(1000, 'a') + "\r\n";
+    const std::string chunked =
+            "POST /a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n";
+    struct Case
+    {
+        std::string head;
+        std::string piece;
+        std::string status;
+    };
+    const std::vector<Case> cases{
+            {"", piece, " 431 "}, // no line end
+            {"GET /a HTTP/1.1\r\n", fields, " 431 "}, // header fields
+            {chunked, piece, " 400 "}, // no chunk size
+            {chunked + "4", std::string(8000, ' '), " 400 "}, // blanks behind a chunk size
+            {chunked + "4;x=", piece, " 400 "}, // a chunk extension
+            {chunked + "4\r\nabcd\r\n4;x=", piece, " 400 "}, // that of the second chunk
+            {chunked + "0\r\n", fields, " 431 "}, // trailer fields
+            {chunked + "0;x=y\r\nX-A: ", piece, " 431 "}, // one trailer field
+            {chunked + "4\r\nabcd\r\n0\r\n", fields, " 431 "}, // behind a body
+    };
+    for (const auto &[head, further, status] : cases) {
+        const std::string answer = answerToEndless(port_, head, further);
+        EXPECT_NE(answer.find(status), std::string::npos) << head << ": " << answer;
+        EXPECT_NE(answer.find("Connection: close"), std::string::npos) << head << ": " << answer;
+    }
+    EXPECT_EQ(calls_, 0);
+}
+
+// Guards against bounds that refuse what callers may send.
+TEST_F(CallerConnectionTest, ExtensionsAndTrailersWithinTheBoundsAreTaken)
+{
+    start();
+    RawClient client(port_);
+    client.send("POST /a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "4;x="
+                + std::string(2000, 'e') + "\r\nabcd\r\n0\r\nX-A: " + std::string(4000, 't')
+                + "\r\n\r\n");
+    EXPECT_NE(client.readUntil("]").find("[/aabcd]"), std::string::npos);
+}
+
 // Guards against a caller that holds a connection with half a request.
 TEST_F(CallerConnectionTest, ASlowHeaderEndsWith408AndAnIdleConnectionCloses)
 {
--- a/chestnutvane/connection/caller_session.cc
+++ b/chestnutvane/connection/caller_session.cc
@@ -6,6 +6,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "chestnutvane/connection/framing_limits.h"
+
 namespace chestnutvane::internal {
 namespace {
 
@@ -132,7 +134,16 @@
             sendInterim();
         }
     }
-    return used > 0;
+    if (used > 0)
+        return true;
+    if (parser_->is_header_done()) { // the parser itself bounds the head
+        const auto unparsed = buffer_.data();
+        const auto excess =
+                chunkFramingExcess({static_cast<const char *>(unparsed.data()), unparsed.size()});
+        if (excess)
+            refuse(*excess);
+    }
+    return false;
 }
 
 // The interim answer follows the answers to the requests before.
@@ -150,6 +161,8 @@
 {
     readTimer_.cancel();
     takesMore_ = false;
+    if (environment_->onRefused)
+        environment_->onRefused(peer_, status);
     pipeline_.setAnswer(pipeline_.add(http::verb::unknown), HttpResponseMessage(status, 11));
     writeNext();
 }
--- a/chestnutvane/connection/caller_session.h
+++ b/chestnutvane/connection/caller_session.h
@@ -33,6 +33,7 @@
 {
     CallHandler handler;
     std::function<CallerConnectionLimits()> limits;
+    RefusalObserver onRefused; // may be empty
     std::function<bool()> isClosing; // answers are to end their connections
     std::function<void(const std::shared_ptr<CallerSession> &)> onClosed;
 };
--- a/chestnutvane/connection/http_exchange.cc
+++ b/chestnutvane/connection/http_exchange.cc
@@ -4,13 +4,13 @@
 #include <string_view>
 #include <utility>
 
+#include "chestnutvane/connection/framing_limits.h"
+
 namespace chestnutvane::internal {
 
 namespace {
 
-// Bytes of an answer's heads, informational ones included, and of its trailer.
-constexpr std::size_t maxHeadBytes = 64U << 10U;
-constexpr int maxHeads = 9; // eight informational ones and that of the answer
+constexpr int maxHeads = maxInformationalAnswers + 1; // that of the answer included
 
 std::string_view trim(std::string_view text)
 {
@@ -40,7 +40,7 @@
     const bool startsHead = line.starts_with("HTTP/"); // for example after 100 Continue
     exchange->headBytes += line.size();
     exchange->heads += startsHead ? 1 : 0;
-    if (exchange->headBytes > maxHeadBytes || exchange->heads > maxHeads) {
+    if (exchange->headBytes > maxAnswerHeadBytes || exchange->heads > maxHeads) {
         exchange->tooLarge = true;
         return 0;
     }
--- a/chestnutvane/connection/http_server_test.cc
+++ b/chestnutvane/connection/http_server_test.cc
@@ -64,6 +64,39 @@
     EXPECT_EQ(handled_, 0);
 }
 
+// Guards against a server that runs out of memory because a peer sends a part of a request that is
+// no body without end, or a body in chunks whose records take more memory than the body.
+TEST_F(HttpServerTest, PartsWithoutEndAreRefused)
+{
+    const std::string chunked = "POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string piece(64U << 10U, 'a');
+    const std::pair<std::string, std::string> cases[]{
+            {"", piece}, // no line end
+            {"GET /x HTTP/1.1\r\nX-A: ", piece}, // one field
+            {"GET /x HTTP/1.1\r\n", "X-A: b\r\n"}, // fields
+            {chunked + "4;x=", piece}, // a chunk extension
+            {chunked + "0\r\nX-A: ", piece}, // one trailer field
+            {chunked + "0\r\n", "X-A: b\r\n"}, // trailer fields
+            {chunked, "1;x=y\r\na\r\n"}, // short chunks
+    };
+    for (const auto &[head, further] : cases) {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::make_address("127.0.0.1"), server_->port()});
+        asio::error_code failure;
+        asio::write(socket, asio::buffer(head), failure);
+        constexpr std::size_t longest = 8U << 20U; // above what both sockets buffer
+        std::string block;
+        while (block.size() < piece.size())
+            block += further;
+        std::size_t sent = 0;
+        while (sent < longest && !failure)
+            sent += asio::write(socket, asio::buffer(block), failure);
+        EXPECT_LT(sent, longest) << head << further.substr(0, 20);
+    }
+    EXPECT_EQ(handled_, 0);
+}
+
 // Guards against "not-run" for a request that the handler has taken and may still run.
 TEST_F(HttpServerTest, RequestInTheHandlerIsNotSaidNotToRun)
 {
--- a/chestnutvane/connection/target_exchange.cc
+++ b/chestnutvane/connection/target_exchange.cc
@@ -12,6 +12,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "chestnutvane/connection/framing_limits.h"
+
 namespace chestnutvane {
 namespace internal {
 namespace {
@@ -20,10 +22,6 @@
 
 // Answers of earlier requests that are dropped on one connection before it is given up.
 constexpr int maxExtraAnswers = 3;
-// Informational answers (status 100 to 199) that may precede an answer.
-constexpr int maxInformationalAnswers = 8;
-// Bytes that are read ahead of the parser. Bounds chunk headers, which the parser does not.
-constexpr std::size_t maxReadAhead = 64U << 10U;
 constexpr int statusMisdirected = 421;
 // A connection on which more requests were refused is not reused.
 constexpr std::size_t maxRefusedIds = 8;
@@ -93,7 +91,7 @@
     Tcp::socket socket_;
     std::vector<std::string> refusedIds_; // of earlier requests on the connection
     net::steady_timer timer_;
-    boost::beast::flat_buffer buffer_{maxReadAhead};
+    boost::beast::flat_buffer buffer_{maxAnswerReadAheadBytes};
     std::optional<http::response_parser<http::string_body>> parser_;
     ExchangeResult result_;
     TimePoint connectStart_;
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <random>
 
+#include "chestnutvane/connection/framing_limits.h"
 #include "chestnutvane/process/log.h"
 
 namespace chestnutvane {
@@ -84,17 +85,32 @@
                 report.operatorFeed = feed_.operatorStatus();
             },
             [this](const LoadReport &report) { feed_.onPeerReport(report); });
-    const auto open = [this](std::shared_ptr<CallerListener> &listener, const std::string &endpoint,
-                             const CallHandler &handler,
+    const auto open = [this](std::string_view port, std::shared_ptr<CallerListener> &listener,
+                             const std::string &endpoint, const CallHandler &handler,
                              const std::function<CallerConnectionLimits()> &limits)
             -> std::optional<ListenError> {
-        auto opened = CallerListener::create(io_, endpoint, handler, limits);
+        const auto onRefused = [this, port](const std::string &peer, http::status status) {
+            logEvent(Event::RequestRefused,
+                     {{"caller", peer},
+                      {"port", port},
+                      {"status", static_cast<int>(status)},
+                      {"reason", "unreadable"},
+                      {"outcome", "not-run"}});
+            metrics_.increment("vane_gateway_unreadable_requests_total",
+                               {{"port", std::string(port)},
+                                {"status", std::to_string(static_cast<int>(status))}});
+        };
+        auto opened = CallerListener::create(io_, endpoint, handler, limits, onRefused);
         if (!isOk(opened))
             return error(opened);
         listener = value(std::move(opened));
         return std::nullopt;
     };
-    const auto defaults = [] { return CallerConnectionLimits{}; };
+    const auto withoutBodies = [] {
+        CallerConnectionLimits limits;
+        limits.maxBodyBytes = maxUnusedBodyBytes;
+        return limits;
+    };
     const auto callerLimits = [this] {
         if (!gateway_.routes())
             return CallerConnectionLimits{};
@@ -103,20 +119,20 @@
                                       limits.headerTimeout, limits.idleTimeout};
     };
     if (auto failure = open(
-                callerListener_, settings_.callerAddress,
+                "callers", callerListener_, settings_.callerAddress,
                 [this](Call call) { gateway_.handle(std::move(call)); }, callerLimits))
         return failure;
     if (auto failure = open(
-                readinessListener_, settings_.readinessAddress,
-                [this](Call call) { answerReadiness(std::move(call)); }, defaults))
+                "readiness", readinessListener_, settings_.readinessAddress,
+                [this](Call call) { answerReadiness(std::move(call)); }, withoutBodies))
         return failure;
     if (auto failure = open(
-                directoryListener_, settings_.directoryAddress,
-                [this](Call call) { answerDirectory(std::move(call)); }, defaults))
+                "directory", directoryListener_, settings_.directoryAddress,
+                [this](Call call) { answerDirectory(std::move(call)); }, withoutBodies))
         return failure;
     return open(
-            metricsListener_, settings_.metricsAddress,
-            [this](Call call) { answerMetrics(std::move(call)); }, defaults);
+            "metrics", metricsListener_, settings_.metricsAddress,
+            [this](Call call) { answerMetrics(std::move(call)); }, withoutBodies);
 }
 
 FeedCallbacks GatewayProcess::feedCallbacks()
