Tell incarnations of a target apart by its start, and entries by their revision

Cause: the cold start of a restarted target was noticed only if its sequence differed from the last one known, though the two count different things. Most instances know an old sequence, as heartbeats alone are not passed on.

Fix: a new start time always begins a cold start; sequences are compared within one incarnation only. Entries carry the revision of the store that wrote them, so a stale read, or the content of another instance, undoes neither a drain nor what a target said. A target that is missing for a while and comes back in the same incarnation keeps its state. A process that starts at the address of another target tells that the other one has ended.

--- a/chestnutvane/process/gateway/feed_change.cc
+++ b/chestnutvane/process/gateway/feed_change.cc
@@ -16,13 +16,16 @@
 
 } // namespace
 
+// Each heartbeat in a cold start counts, as a target may turn cold again while it is cold.
 std::uint64_t contentHash(const TargetEntry &entry)
 {
     std::string text;
     for (const auto &field : {entry.id, entry.service, entry.address, entry.zone, entry.version})
         text += field + ' ';
     text += std::to_string(entry.slots) + (entry.draining ? " draining " : " ready ")
-            + (entry.coldRemaining.count() > 0 ? "cold " : "") + std::to_string(entry.startedAt);
+            + std::to_string(entry.startedAt);
+    if (entry.coldRemaining.count() > 0)
+        text += " cold " + std::to_string(entry.sequence);
     return hash64(text);
 }
 
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -155,6 +155,7 @@
             logEvent(Event::TargetChanged,
                      {{"target", id}, {"what", enumName(targetChangeKindNames, changeKind)}});
             if (changeKind == TargetChangeKind::Restarted
+                || changeKind == TargetChangeKind::Superseded
                 || (changeKind == TargetChangeKind::Removed && !wasDraining))
                 gateway_.onTargetEnded(id);
         }
--- a/chestnutvane/process/gateway/store_feed_content.cc
+++ b/chestnutvane/process/gateway/store_feed_content.cc
@@ -163,6 +163,7 @@
         if (isOk(target)) {
             entryHashes[entry.key] = hash;
             targets.push_back(value(target));
+            targets.back().revision = version;
             continue;
         }
         ignored.insert(id);
--- a/chestnutvane/process/gateway/target_registry.h
+++ b/chestnutvane/process/gateway/target_registry.h
@@ -38,6 +38,9 @@
     std::uint64_t sequence = 0; // increases with each entry of one incarnation
     // Start time in Unix milliseconds; tells incarnations under one id apart. 0: unknown.
     std::int64_t startedAt = 0;
+    // Revision of the store that wrote the entry; tells an older entry from a newer one. 0:
+    // unknown.
+    std::uint64_t revision = 0;
 
     friend bool operator==(const TargetEntry &, const TargetEntry &) = default;
 };
@@ -87,6 +90,7 @@
     TimePoint firstListedAt; // when an entry of it was first read
     TimePoint coldStartUntil; // end of the cold start; until then requests are rate-limited
     bool removed = false; // no longer registered; gets no new requests
+    bool superseded = false; // another target is registered at its address since
     WarmObjects warmObjects;
     int inFlight = 0; // attempts of this instance in flight
     bool receivedRequest = false; // any instance sent a request to this incarnation
@@ -94,6 +98,9 @@
     TimePoint backOffUntil;
     int consecutiveFailures = 0;
     TimePoint fullUntil; // set after the target refused a request because its slots were full
+    TimePoint nextProbeAt; // when a lost request may lead to a probe of the port again
+    TimePoint pausedUntil; // the target asked for a pause; until then nothing is sent to it
+    std::optional<TimePoint> leavingSince; // when the target first said that it shuts down
     double failureRate = 0; // moving average of failed attempts, 0 to 1
     double runTimeFactor = 1; // moving average of measured run time divided by expected run time
 };
@@ -110,6 +117,7 @@
     Draining,
     Restarted, // new incarnation under the same id
     Readdressed,
+    Superseded, // another target is registered at its address since; its process has ended
 };
 
 inline constexpr EnumName<TargetChangeKind> targetChangeKindNames[] = {
@@ -118,6 +126,7 @@
         {TargetChangeKind::Draining, "draining"},
         {TargetChangeKind::Restarted, "restarted"},
         {TargetChangeKind::Readdressed, "readdressed"},
+        {TargetChangeKind::Superseded, "superseded"},
 };
 
 struct RegistryChange
@@ -132,7 +141,9 @@
 public:
     explicit TargetRegistry(std::map<std::string, std::string> zoneRegions);
 
-    // Applies the complete list of entries. Returns the changes.
+    // Applies the complete list of entries. Returns the changes. An entry with an older revision
+    // than one that was applied before is left out. A target that is missing for a while and comes
+    // back in the same incarnation keeps its state.
     std::vector<RegistryChange> replaceAll(const std::vector<TargetEntry> &entries, TimePoint now,
                                            RemovalPolicy removals);
 
@@ -140,6 +151,7 @@
     [[nodiscard]] const std::vector<std::shared_ptr<Target>> &
     targetsOf(const std::string &service) const;
 
+    [[nodiscard]] std::shared_ptr<Target> findById(const std::string &id) const;
     [[nodiscard]] std::shared_ptr<Target> findByHash(std::uint64_t hash) const;
 
     // All targets by the hash of their id.
@@ -159,10 +171,18 @@
     [[nodiscard]] bool isEligible(const Target &target) const;
 
 private:
+    void applyEntry(const TargetEntry &entry, TimePoint now, std::vector<RegistryChange> &changes);
+    void markSuperseded(std::vector<RegistryChange> &changes);
     void rebuildIndex();
 
     std::map<std::string, std::string> zoneRegions_;
     std::map<std::string, std::shared_ptr<Target>> byId_;
+    struct RemovedTarget
+    {
+        std::shared_ptr<Target> target;
+        TimePoint removedAt;
+    };
+    std::map<std::string, RemovedTarget> removed_; // by id, for a while
     std::map<std::string, std::vector<std::shared_ptr<Target>>> byService_;
     std::unordered_map<std::uint64_t, std::shared_ptr<Target>> byHash_;
     std::set<std::string> evacuatedZones_;
