--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -50,6 +50,7 @@
 
 void StoreFeed::scheduleRun(Loop loop, Milliseconds delay)
 {
+    loops_[indexOf(loop)].isParked = false;
     auto &timer = *loops_[indexOf(loop)].timer;
     timer.expires_after(delay);
     timer.async_wait(owner_.guarded([this, loop](const boost::system::error_code &cancelled) {
@@ -106,8 +107,10 @@
     const bool isRead = loop == Loop::Operator || loop == Loop::Targets;
     const bool readAwaitsRetry = loops_[indexOf(Loop::Operator)].awaitsRetry
             || loops_[indexOf(Loop::Targets)].awaitsRetry;
-    if (storeUnreachable_ && !isRead && readAwaitsRetry)
+    if (storeUnreachable_ && !isRead && readAwaitsRetry) {
+        state.isParked = true;
         return;
+    }
     constexpr int maxDoublings = 4;
     const auto delay = std::min(maxRetryDelay,
                                 minRetryDelay * (1 << std::min(state.failures - 1, maxDoublings)));
@@ -150,6 +153,7 @@
         return;
     if (isDue(loop))
         return startRead(loop);
+    resumeParkedLoops();
     const Milliseconds limit = isReader_ ? readerReadPeriod : confirmationTimeout;
     const auto dueIn = std::chrono::duration_cast<Milliseconds>(freshness(loop).confirmedAt()
                                                                 + limit - BootClock::now());
@@ -162,6 +166,18 @@
     scheduleRun(loop, delay);
 }
 
+// Lets the other loops probe an unreachable store by themselves when no read does, because the
+// reports of other instances confirm the content.
+void StoreFeed::resumeParkedLoops()
+{
+    if (loops_[indexOf(Loop::Operator)].awaitsRetry || loops_[indexOf(Loop::Targets)].awaitsRetry)
+        return;
+    for (const Loop loop : {Loop::Lease, Loop::Instances}) {
+        if (loops_[indexOf(loop)].isParked)
+            scheduleRun(loop, Milliseconds{0});
+    }
+}
+
 void StoreFeed::startRead(Loop loop)
 {
     LoopState &state = loops_[indexOf(loop)];
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store_feed.h
@@ -173,6 +173,7 @@
     // Reads a prefix if a read is due, otherwise schedules the next check.
     void readOrReschedule(Loop loop);
     void startRead(Loop loop);
+    void resumeParkedLoops();
     void onList(Loop loop, const Result<WatchResult, StoreError> &result);
     void onStaleList(Loop loop, const Result<WatchResult, StoreError> &result);
     void onChanges(Loop loop, const Result<StoreChanges, StoreError> &result);
@@ -210,6 +211,7 @@
         std::unique_ptr<boost::asio::steady_timer> timer;
         int failures = 0; // consecutive failed calls
         bool awaitsRetry = false;
+        bool isParked = false; // waits for the success of a read in place of a time
         TimePoint callStart; // of the last call
         BootTime readStart; // of the last list call
         bool readRunning = false;
--- a/chestnutvane/process/gateway/store_feed_test.cc
+++ b/chestnutvane/process/gateway/store_feed_test.cc
@@ -72,13 +72,17 @@
         Store store = store_;
         store.list = [this, id](const std::string &prefix, const ListCallback &done) {
             ++reads_[id + ' ' + prefix];
-            if (storeUnavailable_)
+            if (storeUnavailable_ && (unavailableTo_.empty() || unavailableTo_ == id))
                 done(StoreError{StoreFailure::Unavailable, ""});
             else if (id == delayedInstance_)
                 delayedAnswers_.emplace_back(lists_[prefix], done);
             else
                 done(lists_[prefix]);
         };
+        store.keepAlive = [this, id](std::uint64_t lease, const auto &done) {
+            ++renewals_[id];
+            store_.keepAlive(lease, done);
+        };
         FeedCallbacks callbacks;
         callbacks.onRoutes = [](const auto &) {};
         callbacks.onEvacuatedZones = [](const auto &) {};
@@ -139,7 +143,9 @@
     std::map<std::string, WatchResult> lists_;
     std::map<std::string, int> reads_; // by instance and prefix
     int otherCalls_ = 0; // lease renewals and reads of the list of instances
+    std::map<std::string, int> renewals_; // of leases, by instance
     bool storeUnavailable_ = false;
+    std::string unavailableTo_; // the only instance whose lists fail then; empty: all
     std::string delayedInstance_; // reads of this instance are not answered yet
     std::vector<std::pair<WatchResult, ListCallback>> delayedAnswers_;
     // By instance and target.
@@ -258,6 +264,32 @@
     runUntil([this, callsAtReturn] { return otherCalls_ >= callsAtReturn + 2; });
 }
 
+// Guards against an instance without a lease after an outage of the store: its content is confirmed
+// by reports, so that it makes no read whose success would resume the renewals.
+TEST_F(StoreFeedTest, AnInstanceWhoseContentIsConfirmedRenewsItsLeaseAgain)
+{
+    const auto [reader, other] = startPair();
+    unavailableTo_ = "other";
+    storeUnavailable_ = true;
+    const int reads = reads_["other t/"] + reads_["other o/"];
+    const int renewals = renewals_["other"];
+    runUntil([&] {
+        return reads_["other t/"] + reads_["other o/"] >= reads + 2
+                && renewals_["other"] > renewals;
+    });
+    const auto runWithReports = [&, &reader = reader, &other = other](Milliseconds time) {
+        for (const TimePoint end = Clock::now() + time; Clock::now() < end;) {
+            other->onPeerReport(reportOf(*reader, {}));
+            io_.run_for(5ms);
+        }
+    };
+    runWithReports(1200ms); // the retries of the reads find that none is due
+    storeUnavailable_ = false;
+    const int before = renewals_["other"];
+    runWithReports(1500ms);
+    EXPECT_GT(renewals_["other"], before);
+}
+
 // Guards against requests to a deregistered target: a read that started before a peer's change was
 // applied, but is answered after it, must not undo the change.
 TEST_F(StoreFeedTest, AnOlderReadDoesNotUndoAChange)
