--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store_feed.cc
@@ -373,18 +373,26 @@
 
 void StoreFeed::readInstances()
 {
-    // Load reports decide which instances are alive; the list only serves to discover new ones.
-    store_.listStale(format_.instancePrefix,
-                     withRetry<WatchResult>(Loop::Instances, [this](const WatchResult &result) {
-                         std::vector<PeerIdentity> instances;
-                         for (const StoreEntry &entry : result.entries) {
-                             if (auto instance = decodeInstanceEntry(entry.value))
-                                 instances.push_back(std::move(*instance));
-                         }
-                         const std::size_t count = instances.size();
-                         callbacks_.onInstances(std::move(instances));
-                         scheduleRun(Loop::Instances, nextInstanceRead(count));
-                     }));
+    // Load reports decide which instances are alive, and the list only serves to discover new ones.
+    // An instance that no longer hears any has nothing else to tell the dead from the living.
+    const bool hasLostPeers = lastPeerReport_ != TimePoint{} && isIsolated();
+    const auto &list = hasLostPeers ? store_.list : store_.listStale;
+    list(format_.instancePrefix,
+         withRetry<WatchResult>(Loop::Instances, [this](const WatchResult &result) {
+             std::vector<PeerIdentity> instances;
+             for (const StoreEntry &entry : result.entries) {
+                 if (auto instance = decodeInstanceEntry(entry.value))
+                     instances.push_back(std::move(*instance));
+             }
+             const std::size_t count = instances.size();
+             callbacks_.onInstances(std::move(instances));
+             scheduleRun(Loop::Instances, nextInstanceRead(count));
+         }));
+}
+
+bool StoreFeed::isIsolated() const
+{
+    return Clock::now() - lastPeerReport_ > FleetView::livenessTimeout;
 }
 
 Milliseconds StoreFeed::nextInstanceRead(std::size_t instances)
@@ -392,8 +400,7 @@
     constexpr int maxDoublings = 8;
     const Milliseconds startup =
             firstInstanceReadPeriod * (1 << std::min(instanceReads_++, maxDoublings));
-    const bool isolated = Clock::now() - lastPeerReport_ > FleetView::livenessTimeout;
-    const Milliseconds regular = isolated
+    const Milliseconds regular = isIsolated()
             ? isolatedInstanceReadPeriod
             : std::clamp(instanceReadPeriodPerInstance * static_cast<Milliseconds::rep>(instances),
                          minInstanceReadPeriod, maxInstanceReadPeriod);
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store_feed.h
@@ -202,6 +202,8 @@
     void writeEntry();
     void replaceLease();
     void readInstances();
+    // Whether no report of the region has arrived for a while.
+    [[nodiscard]] bool isIsolated() const;
     template <class T, class OnResult>
     auto withRetry(Loop loop, OnResult onResult);
     void onLeaseResult(const std::optional<StoreError> &failure);
--- a/chestnutvane/process/gateway/store_feed_test.cc
+++ b/chestnutvane/process/gateway/store_feed_test.cc
@@ -290,6 +290,17 @@
     EXPECT_GT(renewals_["other"], before);
 }
 
+// Guards against callers that are directed to instances that died seconds ago: the only survivor
+// has nothing but the list of the store, and a stale one may be seconds old.
+TEST_F(StoreFeedTest, AnInstanceThatHearsNobodyReadsTheCurrentListOfInstances)
+{
+    const auto [reader, other] = startPair();
+    other->onPeerReport(reportOf(*reader, {}));
+    io_.run_for(500ms);
+    EXPECT_EQ(reads_["other i/"], 0);
+    runUntil([this] { return reads_["other i/"] >= 2; });
+}
+
 // Guards against requests to a deregistered target: a read that started before a peer's change was
 // applied, but is answered after it, must not undo the change.
 TEST_F(StoreFeedTest, AnOlderReadDoesNotUndoAChange)
