Charge requests with the crash of a target at once, and tell all instances

Cause: a lost request was charged only if the same instance happened to find the port closed, or when the entry of the target was removed or replaced under its id, 4.5 s and more later. An upstream that is back with a new id gives neither. The counts then went with the next full report.

Fix: 0.1 s after a lost request the instance opens a connection to the target; a refused one tells that the process has ended. A 421, and a new target at the address, tell the same. Charges are reported to all instances within 50 ms.

--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -50,7 +50,7 @@
 FleetLink::FleetLink(net::io_context &io, PeerIdentity self, const GatewaySettings &settings,
                      Gateway &gateway)
     : self_(std::move(self)), settings_(settings), gateway_(gateway), socket_(io), tickTimer_(io),
-      coalescingTimer_(io), flushTimer_(io),
+      coalescingTimer_(io), crashTimer_(io), flushTimer_(io),
       relay_({self_.id, self_.zone, settings.regionOf(self_.zone), self_.coreShare},
              self_.incarnation, [this](const std::string &id) { return mayRelay(id); })
 { }
@@ -82,6 +82,7 @@
     link->socket_.non_blocking(true, failure);
     gateway.setOnLoadChange(
             [raw = link.get()](const WarmObject *warmObject) { raw->onLoadChange(warmObject); });
+    gateway.setOnCrashCharged([raw = link.get()] { raw->reportCrashes(); });
     link->receive();
     link->tick();
     return link;
@@ -385,6 +386,26 @@
         sendReport(Audience::SameRegion);
 }
 
+void FleetLink::reportCrashes()
+{
+    if (std::exchange(crashReportScheduled_, true))
+        return;
+    constexpr Milliseconds gatheringTime{50};
+    crashTimer_.expires_after(gatheringTime);
+    crashTimer_.async_wait([this](const Error &cancelled) {
+        crashReportScheduled_ = false;
+        if (cancelled)
+            return;
+        // Crash counts go with the full identity.
+        for (auto &[id, receiver] : receivers_)
+            receiver.outbox.identitySentAt = {};
+        for (Outbox &outbox : outboxes_)
+            outbox.identitySentAt = {};
+        sendReport(Audience::SameRegion);
+        sendReport(Audience::OtherRegions);
+    });
+}
+
 void FleetLink::setState(PeerState state)
 {
     state_ = state;
--- a/chestnutvane/process/gateway/fleet_link.h
+++ b/chestnutvane/process/gateway/fleet_link.h
@@ -99,6 +99,10 @@
     // already take a part of the time within which the others must hear of it.
     void reportContentRead();
 
+    // Reports the crash counts of requests to all peers after a short time, in which further ones
+    // are gathered.
+    void reportCrashes();
+
     // Sets the state of this instance and reports it to all peers at once.
     void setState(PeerState state);
     [[nodiscard]] PeerState state() const { return state_; }
@@ -184,6 +188,8 @@
     net::steady_timer tickTimer_;
     net::steady_timer coalescingTimer_;
     bool reportScheduled_ = false;
+    net::steady_timer crashTimer_;
+    bool crashReportScheduled_ = false;
     net::steady_timer flushTimer_;
     bool flushScheduled_ = false;
     ReportRelay relay_;
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -145,6 +145,13 @@
         crashWatch_.merge(counts, Clock::now());
     }
 
+    // Sets a function that is called when requests were charged with a crash, so that the other
+    // instances hear of it at once.
+    void setOnCrashCharged(std::function<void()> function)
+    {
+        onCrashCharged_ = std::move(function);
+    }
+
     // Sets the instances that the store lists. They share the common limits also before their first
     // report arrives.
     void setListedInstances(const std::vector<PeerIdentity> &instances);
@@ -225,6 +232,8 @@
     [[nodiscard]] static std::uint64_t requestFingerprint(const PendingRequest &pending);
     [[nodiscard]] bool isCrashSuspect(const PendingRequest &pending) const;
     void chargeLostRequests(std::uint64_t target);
+    // Finds out whether a target that lost a request has ended, and charges its requests if so.
+    void probeAfterLoss(Target &target, TimePoint now);
     void recordFailure(Target &target, const ExchangeError &failure, bool reused, TimePoint now);
     // Retries the request if that is allowed; otherwise answers it.
     void retryOrAnswer(const Pending &pending, std::string_view reason);
@@ -273,6 +282,9 @@
     std::map<std::string, std::size_t> regionNumbers_; // for Candidate::region
     std::map<std::string, double> responseSizes_; // mean in bytes, by route
     std::function<void(const WarmObject *)> onLoadChange_;
+    std::function<void()> onCrashCharged_;
+    // Outlived by the callbacks of probes, which check it.
+    std::shared_ptr<const bool> lifetime_ = std::make_shared<const bool>(true);
     std::optional<ShutdownWindow> shutdown_;
     net::steady_timer shutdownTimer_; // the end of shutdownSendTime
     std::size_t pendingCount_ = 0;
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "chestnutvane/base/hash.h"
+#include "chestnutvane/connection/port_probe.h"
 #include "chestnutvane/process/gateway/gateway.h"
 #include "chestnutvane/process/log.h"
 #include "chestnutvane/request/fingerprint.h"
@@ -177,6 +179,7 @@
     if (answer.notRun) {
         updateAverage(target.failureRate, 1, failureWeight);
         if (answer.otherTarget) {
+            chargeLostRequests(target.hash); // another process listens at its address
             target.backOffUntil = now + misdirectedBackOff;
             return retryOrAnswer(pending, "misdirected");
         }
@@ -229,10 +232,12 @@
     } else {
         ++pending->connectFailures;
     }
-    if (failure.failure == ExchangeFailure::ConnectionLost && reached)
+    if (failure.failure == ExchangeFailure::ConnectionLost && reached) {
         crashWatch_.onAttemptLost(requestFingerprint(*pending), pending->target->hash, now);
-    else if (failure.failure == ExchangeFailure::ConnectFailed)
+        probeAfterLoss(*pending->target, now);
+    } else if (failure.failure == ExchangeFailure::ConnectFailed) {
         chargeLostRequests(pending->target->hash); // no process listens any more
+    }
     recordFailure(*pending->target, failure, reused, now);
     retryOrAnswer(pending, enumName(exchangeFailureNames, failure.failure));
 }
@@ -261,7 +266,10 @@
 void Gateway::chargeLostRequests(std::uint64_t target)
 {
     const auto registered = registry_.findByHash(target);
-    for (const std::uint64_t request : crashWatch_.onTargetDown(target, Clock::now())) {
+    const auto charged = crashWatch_.onTargetDown(target, Clock::now());
+    if (!charged.empty() && onCrashCharged_)
+        onCrashCharged_();
+    for (const std::uint64_t request : charged) {
         logEvent(Event::CrashCharged,
                  {{"service", registered ? registered->entry.service : std::string()},
                   {"target", registered ? registered->entry.id : std::string()},
@@ -269,6 +277,29 @@
     }
 }
 
+// Most crashes are followed by seconds in which no process listens. Without the probe, only another
+// request for the target, or its entry in the store, would tell.
+void Gateway::probeAfterLoss(Target &target, TimePoint now)
+{
+    constexpr Milliseconds probeInterval{300};
+    // A process that ends closes its connections and its port in any order.
+    constexpr ProbeTimes probeTimes{.delay = Milliseconds(100), .limit = Milliseconds(500)};
+    if (now < target.nextProbeAt)
+        return;
+    target.nextProbeAt = now + probeInterval;
+    probePort(io_, target.entry.address, probeTimes,
+              [this, alive = std::weak_ptr(lifetime_), hash = target.hash,
+               id = target.entry.id](PortState state) {
+                  if (alive.expired())
+                      return;
+                  const std::string result(enumName(portStateNames, state));
+                  logEvent(Event::TargetProbeEnded, {{"target", id}, {"result", result}});
+                  metrics_.increment("vane_gateway_probes_total", {{"result", result}});
+                  if (state == PortState::Closed)
+                      chargeLostRequests(hash);
+              });
+}
+
 void Gateway::recordFailure(Target &target, const ExchangeError &failure, bool reused,
                             TimePoint now)
 {
