Obey targets that leave or ask for a pause

A target that leaves gets nothing new at once, unless no other one can serve the request within half of its drain time; its idle connections are closed and its objects forgotten, and waiting requests are placed again. A target that asks for a pause gets nothing until then. A request without another target waits if one returns in time, or is refused at once with the earliest return as its Retry-After. Only answers that are surely the target's count; odd values have named rules.

--- a/chestnutvane/connection/header_names.h
+++ b/chestnutvane/connection/header_names.h
@@ -19,6 +19,7 @@
     std::string seal = "Answer-Seal"; // a target's mark of an answer of its own
     std::string notRun = "Vane-Not-Run"; // a target's word that it did not run the request
     std::string load = "Target-Load"; // "running,waiting,slots"
+    std::string leaving = "Target-Leaving"; // "1": the target that answers is shutting down
     std::string targetId = "Answer-Target"; // the id of the target that answers
 };
 
--- a/chestnutvane/connection/target_exchange.cc
+++ b/chestnutvane/connection/target_exchange.cc
@@ -43,6 +43,15 @@
     return TargetLoad{figures[0], figures[1], figures[2]};
 }
 
+std::vector<std::string_view> headerValues(const HttpResponseMessage &message, http::field field)
+{
+    std::vector<std::string_view> values;
+    const auto [first, last] = message.equal_range(field);
+    for (auto header = first; header != last; ++header)
+        values.emplace_back(header->value().data(), header->value().size());
+    return values;
+}
+
 // Reads "timeout=N" of a Keep-Alive header.
 std::optional<std::chrono::seconds> parseKeepAlive(std::string_view text)
 {
@@ -225,6 +234,10 @@
     }
     if (const auto load = message.find(request_.names.load); load != message.end())
         answer.load = parseLoad({load->value().data(), load->value().size()});
+    answer.leaving = message[request_.names.leaving] == "1";
+    answer.answeredBy = std::string(message[request_.names.targetId]);
+    if (answer.notRun && message.result() == http::status::service_unavailable)
+        answer.retryAfter = readRetryAfter(headerValues(message, http::field::retry_after));
     keepConnection(message);
     answer.message = std::move(message);
     finish(std::move(answer));
@@ -233,7 +246,7 @@
 void Exchange::keepConnection(const HttpResponseMessage &message)
 {
     if (!written_ || buffer_.size() > 0 || !message.keep_alive() || parser_->need_eof()
-        || refusedIds_.size() > maxRefusedIds)
+        || refusedIds_.size() > maxRefusedIds || message[request_.names.leaving] == "1")
         return;
     Duration idle = request_.maxIdle;
     if (const auto header = message.find(http::field::keep_alive); header != message.end()) {
--- a/chestnutvane/connection/target_exchange.h
+++ b/chestnutvane/connection/target_exchange.h
@@ -4,6 +4,9 @@
 // target's word that the request did not run. Extra answers of earlier requests are dropped; a
 // connection with bytes behind its answer, or with a request that was not fully written, is closed.
 //
+// What a target says of itself (its load, that it leaves, that it wants a pause) counts in such
+// answers only; an answer of another request, or without a seal, counts for nothing.
+//
 // A target may repeat an earlier refusal. Therefore a refusal without the request's id counts only
 // on a new connection, and a request that was refused is not sent on the same connection again.
 //
@@ -30,6 +33,7 @@
 #include "chestnutvane/connection/answer_memory.h"
 #include "chestnutvane/connection/header_names.h"
 #include "chestnutvane/connection/http_types.h"
+#include "chestnutvane/connection/retry_after.h"
 
 namespace chestnutvane {
 
@@ -88,6 +92,9 @@
     bool notRun = false; // the target says that it did not run the request
     bool otherTarget = false; // the address belongs to another target now
     std::optional<TargetLoad> load;
+    bool leaving = false; // the target that answers is shutting down
+    std::string answeredBy; // id of the target that answers; empty if it does not say
+    RetryAfter retryAfter; // of a refusal with status 503
 };
 
 enum class ExchangeFailure {
--- a/chestnutvane/operator/request_story.cc
+++ b/chestnutvane/operator/request_story.cc
@@ -251,6 +251,10 @@
             return "The targets that were tried refused it, and no attempt was left.";
         if (reason == "time-limit")
             return "It waited until its time limit without being sent.";
+        if (reason == "targets-pause")
+            return "All usable targets had asked for a pause (target-paused) that ends too late "
+                   "for "
+                   "it.";
         if (reason == "shutdown")
             return "The instance was shutting down and might have ended before the answer; nothing "
                    "was sent, and the caller may send it to another instance.";
--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -52,7 +52,7 @@
 Gateway::Gateway(net::io_context &io, const GatewaySettings &settings, Metrics &metrics)
     : io_(io), settings_(settings), metrics_(metrics), region_(settings.regionOf(settings.zone)),
       registry_(settings.zoneRegions), passTimer_(io),
-      crashWatch_(makeCounterId(settings.instanceId), region_), shutdownTimer_(io)
+      crashWatch_(makeCounterId(settings.instanceId), region_), shutdownTimer_(io), pauseTimer_(io)
 { }
 
 void Gateway::handle(Call call)
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -87,13 +87,20 @@
     bool done = false;
 };
 
+// Targets of a later tier are candidates only if there is none of an earlier one.
+enum class TargetTier {
+    Usable,
+    InBackOff, // after failures
+    Leaving, // said that it shuts down, and still serves
+};
+
 // State of an eligible target during one placement pass.
 struct TargetSnapshot
 {
     std::shared_ptr<Target> target;
     Candidate shared; // the values that are the same for all requests of the pass
     double peerQueueLength = 0; // waiting requests of other instances per target of the region
-    bool inBackOff = false; // after failures; used only if there is no other target
+    TargetTier tier = TargetTier::Usable;
 };
 
 // Which waiting requests a placement pass covers.
@@ -219,6 +226,12 @@
     // The number of instances that share the common limits; the highest number until it is known.
     [[nodiscard]] std::size_t instanceCount(TimePoint now) const;
     [[nodiscard]] Duration roundTrip(const Target &target) const;
+    // Returns the earliest end of a pause of a target that may serve the request; nothing if none
+    // pauses. `isUntried` leaves out those that were tried.
+    [[nodiscard]] std::optional<TimePoint> earliestReturn(const PendingRequest &pending,
+                                                          TimePoint now, bool isUntried) const;
+    // Lets a request without a candidate wait for the end of a pause, or answers it at once.
+    void awaitReturnOrAnswer(const Pending &pending, TimePoint now);
 
     // Attempts and their results (gateway_attempts.cc).
     void send(const Pending &pending, const std::shared_ptr<Target> &target,
@@ -229,6 +242,9 @@
     void onAnswer(const Pending &pending, TargetAnswer answer, Duration run);
     void onFailure(const Pending &pending, const ExchangeError &failure, bool reused);
     void releaseSlot(const Pending &pending);
+    // Applies what a target says of itself in an answer.
+    void applyTargetWord(const PendingRequest &pending, const TargetAnswer &answer, TimePoint now);
+    void markLeaving(Target &target, const std::string &requestId, TimePoint now);
     [[nodiscard]] static std::uint64_t requestFingerprint(const PendingRequest &pending);
     [[nodiscard]] bool isCrashSuspect(const PendingRequest &pending) const;
     void chargeLostRequests(std::uint64_t target);
@@ -241,10 +257,10 @@
     // not run, it is refused with the Retry-After time.
     void answerUnserved(const Pending &pending, std::string_view reason, Duration retryAfter);
     void deliver(const Pending &pending, HttpResponseMessage message, std::string_view outcome);
-    // Upper limit of the Retry-After time in refusals.
-    static constexpr Milliseconds maxRetryAfter{1500};
+    // Upper limit of the Retry-After time in refusals, unless targets asked for a longer pause.
+    static constexpr Duration maxRetryAfter = Milliseconds(1500);
     // Retry-After time if another attempt may succeed at once.
-    static constexpr Milliseconds immediateRetryAfter{10};
+    static constexpr Duration immediateRetryAfter = Milliseconds(10);
     void refuse(const Pending &pending, std::string_view reason, Duration retryAfter);
     void answerWithError(const Pending &pending, http::status status, std::string_view reason);
     void finish(const Pending &pending, HttpResponseMessage message);
@@ -287,6 +303,7 @@
     std::shared_ptr<const bool> lifetime_ = std::make_shared<const bool>(true);
     std::optional<ShutdownWindow> shutdown_;
     net::steady_timer shutdownTimer_; // the end of shutdownSendTime
+    net::steady_timer pauseTimer_; // the earliest end of a pause that a request waits for
     std::size_t pendingCount_ = 0;
 };
 
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -173,6 +173,7 @@
 {
     const TimePoint now = Clock::now();
     Target &target = *pending->target;
+    applyTargetWord(*pending, answer, now);
     ++pending->arrivals;
     constexpr unsigned firstFailureStatus = 500;
     const unsigned status = answer.message.result_int();
@@ -222,6 +223,47 @@
     deliver(pending, std::move(answer.message), "ran");
 }
 
+void Gateway::applyTargetWord(const PendingRequest &pending, const TargetAnswer &answer,
+                              TimePoint now)
+{
+    // Another target speaks of itself in a misdirected answer.
+    const auto speaker = answer.otherTarget
+            ? registry_.findByHash(reportKey(hash64(answer.answeredBy)))
+            : pending.target;
+    if (answer.leaving && speaker && speaker->entry.address == pending.target->entry.address)
+        markLeaving(*speaker, pending.id, now);
+    if (answer.otherTarget || answer.retryAfter.rule == RetryAfterRule::Absent)
+        return;
+    Target &target = *pending.target;
+    const auto &[pause, rule] = answer.retryAfter;
+    logEvent(Event::TargetPaused,
+             {{"target", target.entry.id},
+              {"request", pending.id},
+              {"rule", enumName(retryAfterRuleNames, rule)},
+              {"for-ms", toMilliseconds(pause)}});
+    metrics_.increment("vane_gateway_target_pauses_total",
+                       {{"rule", std::string(enumName(retryAfterRuleNames, rule))}});
+    if (pause <= Duration::zero())
+        return;
+    target.pausedUntil = std::max(target.pausedUntil, now + pause);
+    freedTargets_[pending.service].insert(target.hash); // places anew what waits for it
+}
+
+void Gateway::markLeaving(Target &target, const std::string &requestId, TimePoint now)
+{
+    pool_.drop(target.entry.address);
+    if (target.leavingSince)
+        return;
+    target.leavingSince = now;
+    target.warmObjects.clear();
+    freedTargets_[target.entry.service].insert(target.hash); // places anew what waits for it
+    logEvent(Event::TargetLeaving,
+             {{"target", target.entry.id},
+              {"request", requestId},
+              {"drain-ms", settings_.drainTime.count()}});
+    metrics_.increment("vane_gateway_targets_leaving_total", {{"service", target.entry.service}});
+}
+
 void Gateway::onFailure(const Pending &pending, const ExchangeError &failure, bool reused)
 {
     const TimePoint now = Clock::now();
@@ -284,7 +326,7 @@
     constexpr Milliseconds probeInterval{300};
     // A process that ends closes its connections and its port in any order.
     constexpr ProbeTimes probeTimes{.delay = Milliseconds(100), .limit = Milliseconds(500)};
-    if (now < target.nextProbeAt)
+    if (now < target.nextProbeAt || target.pausedUntil > now)
         return;
     target.nextProbeAt = now + probeInterval;
     probePort(io_, target.entry.address, probeTimes,
@@ -351,7 +393,8 @@
     // once. If all slots are full, one is free after about a run.
     const auto work = runTimes_.estimate(route.name, pending->service, route.aim);
     answerUnserved(pending, reason,
-                   pending->refusedWithFreeSlot ? Duration(immediateRetryAfter) : work.mean);
+                   pending->refusedWithFreeSlot ? immediateRetryAfter
+                                                : std::min<Duration>(work.mean, maxRetryAfter));
 }
 
 void Gateway::answerUnserved(const Pending &pending, std::string_view reason, Duration retryAfter)
@@ -382,7 +425,7 @@
 void Gateway::refuse(const Pending &pending, std::string_view reason, Duration retryAfter)
 {
     HttpResponseMessage message(http::status::service_unavailable, 11);
-    const auto wait = std::clamp(retryAfter, Duration(minRetryAfter), Duration(maxRetryAfter));
+    const auto wait = std::max<Duration>(retryAfter, minRetryAfter);
     const std::string seconds = std::to_string(Seconds(wait).count());
     message.set(http::field::retry_after, seconds.substr(0, seconds.find('.') + 3));
     logEvent(Event::RequestRefused,
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -104,6 +104,10 @@
         }
         updateHomeRegions(*pending);
         fillCandidates(*pending, snapshots, candidates, indices);
+        if (candidates.empty()) {
+            awaitReturnOrAnswer(pending, now);
+            continue;
+        }
         auto work = runTimes_.estimate(pending->route->name, service, pending->route->aim);
         constexpr double bytesPerKilobyte = 1000;
         const auto responseSize = responseSizes_.find(pending->route->name);
@@ -133,9 +137,10 @@
         }
         dequeue(pending);
         if (placement.action == PlacementAction::Refuse) {
-            answerUnserved(pending, candidates.empty() ? "no-target" : "no-room",
-                           pending->refusedWithFreeSlot ? Duration(immediateRetryAfter)
-                                                        : work.mean);
+            answerUnserved(pending, "no-room",
+                           pending->refusedWithFreeSlot
+                                   ? immediateRetryAfter
+                                   : std::min<Duration>(work.mean, maxRetryAfter));
             continue;
         }
         TargetSnapshot &chosen = snapshots[indices[placement.index]];
@@ -160,7 +165,10 @@
     std::vector<TargetSnapshot> snapshots;
     snapshots.reserve(targets.size());
     for (const auto &target : targets) {
-        if (!registry_.isEligible(*target))
+        if (!registry_.isEligible(*target) || target->pausedUntil > now)
+            continue;
+        // The other half of the drain time is left for the run.
+        if (target->leavingSince && now >= *target->leavingSince + settings_.drainTime / 2)
             continue;
         const bool inColdStart = target->coldStartUntil > now;
         TargetSnapshot snapshot{target};
@@ -180,7 +188,10 @@
         shared.roundTrip = roundTrip(*target);
         shared.sendAllowed = isSendAllowed(service, *target, now);
         snapshot.peerQueueLength = peerQueueLength;
-        snapshot.inBackOff = target->backOffUntil > now;
+        if (target->leavingSince)
+            snapshot.tier = TargetTier::Leaving;
+        else if (target->backOffUntil > now)
+            snapshot.tier = TargetTier::InBackOff;
         snapshots.push_back(std::move(snapshot));
     }
     return snapshots;
@@ -193,13 +204,13 @@
     const std::size_t warmCapacity = warmCapacityOf(pending.service).warmCapacity();
     // Requests without an object are spread, or all instances would choose the same few targets.
     const std::uint64_t rankKey = pending.object != 0 ? pending.object : hash64(pending.id);
-    const auto fill = [&](bool inBackOff) {
+    const auto fill = [&](TargetTier tier) {
         candidates.clear();
         indices.clear();
         for (std::size_t i = 0; i < snapshots.size(); ++i) {
             const TargetSnapshot &snapshot = snapshots[i];
             const Target &target = *snapshot.target;
-            if (snapshot.inBackOff != inBackOff || !isHomeRegion(pending, target.region)
+            if (snapshot.tier != tier || !isHomeRegion(pending, target.region)
                 || std::find(pending.triedTargets.begin(), pending.triedTargets.end(), target.hash)
                         != pending.triedTargets.end())
                 continue;
@@ -214,9 +225,56 @@
             indices.push_back(i);
         }
     };
-    fill(false);
-    if (candidates.empty()) // targets in back-off are better than none
-        fill(true);
+    for (const auto tier : {TargetTier::Usable, TargetTier::InBackOff, TargetTier::Leaving}) {
+        fill(tier);
+        if (!candidates.empty())
+            return;
+    }
+}
+
+std::optional<TimePoint> Gateway::earliestReturn(const PendingRequest &pending, TimePoint now,
+                                                 bool isUntried) const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto &target : registry_.targetsOf(pending.service)) {
+        const auto &tried = pending.triedTargets;
+        if (target->pausedUntil <= now || target->leavingSince || !registry_.isEligible(*target)
+            || !isHomeRegion(pending, target->region)
+            || (isUntried && std::find(tried.begin(), tried.end(), target->hash) != tried.end()))
+            continue;
+        earliest = std::min(earliest.value_or(target->pausedUntil), target->pausedUntil);
+    }
+    return earliest;
+}
+
+void Gateway::awaitReturnOrAnswer(const Pending &pending, TimePoint now)
+{
+    const auto work =
+            runTimes_.estimate(pending->route->name, pending->service, pending->route->aim);
+    if (const auto at = earliestReturn(*pending, now, true)) {
+        const ShutdownRequest request{*at, pending->deadlineAt, work.mean,
+                                      pending->route->repeat == Repeat::Idempotent};
+        const Duration usable = std::chrono::duration_cast<Duration>(
+                (pending->deadlineAt - now) * placementSettings_.usableTimeShare);
+        if (*at + work.mean <= now + usable
+            && (!shutdown_ || maySendBeforeShutdown(*shutdown_, request))) {
+            pending->plannedTarget = 0;
+            if (pauseTimer_.expiry() <= now || *at < pauseTimer_.expiry()) {
+                pauseTimer_.expires_at(*at);
+                pauseTimer_.async_wait([this](const boost::system::error_code &ended) {
+                    if (!ended)
+                        scheduleFullPasses();
+                });
+            }
+            return;
+        }
+    }
+    dequeue(pending);
+    if (const auto at = earliestReturn(*pending, now, false))
+        return answerUnserved(pending, "targets-pause", *at - now);
+    answerUnserved(pending, "no-target",
+                   pending->refusedWithFreeSlot ? immediateRetryAfter
+                                                : std::min<Duration>(work.mean, maxRetryAfter));
 }
 
 // Only the home regions follow the newest revision. Everything else of the route is bound at the
--- a/chestnutvane/process/gateway/gateway_settings.cc
+++ b/chestnutvane/process/gateway/gateway_settings.cc
@@ -117,6 +117,8 @@
              numberSetter(minCoreShare, maxCount, [](S &s, double v) { s.coreShare = v; })},
             {"stop-grace", "6", "seconds from SIGTERM to the end of the process",
              secondsSetter(0.1, maxSeconds, [](S &s, Milliseconds v) { s.stopGrace = v; })},
+            {"drain-time", "2", "seconds for which a target serves after it said that it leaves",
+             secondsSetter(0, maxSeconds, [](S &s, Milliseconds v) { s.drainTime = v; })},
             {"directory-ttl", "2", "seconds for which callers may cache a directory response",
              secondsSetter(0.1, maxSeconds, [](S &s, Milliseconds v) { s.directoryTtl = v; })},
             {"retry-ratio", "0.2", "retries per request of a service, over all instances",
--- a/chestnutvane/process/gateway/gateway_settings.h
+++ b/chestnutvane/process/gateway/gateway_settings.h
@@ -36,6 +36,7 @@
     std::string storeUrl; // "http://IP:port"
     double coreShare = 1; // processor cores that this instance may use
     Milliseconds stopGrace{6000}; // from SIGTERM to the end of the process
+    Milliseconds drainTime{2000}; // how long a target serves after it said that it leaves
     Milliseconds directoryTtl{2000}; // how long callers may cache a directory response
     RetryLimit retryLimit;
     double coldOvershoot = 1.5;
