--- a/chestnutvane/process/gateway/crash_watch_test.cc
+++ b/chestnutvane/process/gateway/crash_watch_test.cc
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
+#include <map>
 #include <random>
 
 namespace chestnutvane {
@@ -176,5 +178,88 @@
     EXPECT_EQ(CrashSimulation(false).crashes, 60); // every time it is sent
 }
 
+// Plays one request that crashes each target that runs it and is sent again at a fixed interval, to
+// each instance in turn. Charges reach the others with a report sent at once and with the regular
+// ones, of which a part is lost.
+struct RepeatedCrash
+{
+    std::size_t instances = 8;
+    Duration interval{0}; // between two repeats
+    Duration detection{0}; // from a crash until its instance has a proof of it
+    double reportLoss = 0; // share of lost reports
+
+    // Returns how many repeats reach a target later than the time after the third crash.
+    [[nodiscard]] int lateRepeats(Duration afterThird) const
+    {
+        constexpr auto step = 50ms;
+        constexpr auto regularReports = 900ms;
+        constexpr auto playTime = 20s;
+        std::vector<CrashWatch> watches;
+        for (std::size_t i = 0; i < instances; ++i)
+            watches.push_back(CrashWatch({i + 1, 1}, i % 2 == 0 ? "south" : "north"));
+        std::mt19937 random(42);
+        std::bernoulli_distribution isLost(reportLoss);
+        std::multimap<TimePoint, std::pair<std::size_t, std::uint64_t>> proofs; // instance, target
+        std::vector<TimePoint> crashes;
+        const auto report = [&](std::size_t from, TimePoint now) {
+            const auto counts = watches[from].countsToReport(now);
+            for (std::size_t to = 0; to < instances && !counts.empty(); ++to) {
+                if (to != from && !isLost(random))
+                    watches[to].merge(counts, now);
+            }
+        };
+        TimePoint nextRepeat = start;
+        std::size_t repeats = 0;
+        for (TimePoint now = start; now < start + playTime; now += step) {
+            while (!proofs.empty() && proofs.begin()->first <= now) {
+                const auto [instance, target] = proofs.begin()->second;
+                proofs.erase(proofs.begin());
+                watches[instance].onTargetDown(target, now);
+                report(instance, now);
+            }
+            for (std::size_t i = 0; i < instances; ++i) {
+                const auto offset = step * static_cast<int>(i % (regularReports / step));
+                if ((now - start - offset) % regularReports == Duration{0})
+                    report(i, now);
+            }
+            for (; nextRepeat <= now; nextRepeat += interval) {
+                const std::size_t instance = repeats++ % instances;
+                if (!watches[instance].mayBeSent(request, now))
+                    continue;
+                crashes.push_back(now);
+                watches[instance].onAttemptLost(request, repeats, now);
+                proofs.emplace(now + detection, std::pair(instance, repeats));
+            }
+        }
+        return static_cast<int>(std::count_if(
+                crashes.begin(), crashes.end(), [&crashes, afterThird](TimePoint when) {
+                    return crashes.size() >= 3 && when > crashes[2] + afterThird;
+                }));
+    }
+};
+
+// Guards against a request that goes on crashing targets in a fleet of any size, whether the proof
+// of a crash is the closed port or, seconds later, a new process at the address.
+TEST(RepeatedCrashTest, AtMostThreeRepeatsComeLaterThanTheBound)
+{
+    constexpr Duration bound = 3s; // the shortest stabilityWindowS of the deployments
+    constexpr Duration closedPort = 100ms;
+    constexpr Duration newProcess = 2800ms; // 2 s until it starts, and a read of the store
+    for (const std::size_t instances : {8U, 81U, 195U}) {
+        for (const Duration interval : {100ms, 300ms, 2000ms}) {
+            for (const Duration detection : {closedPort, newProcess}) {
+                for (const double loss : {0.0, 0.1}) {
+                    const RepeatedCrash play{instances, interval, detection, loss};
+                    EXPECT_LE(play.lateRepeats(bound), 3)
+                            << instances << " instances, interval " << interval.count()
+                            << " ns, detection " << detection.count() << " ns, loss " << loss;
+                }
+            }
+        }
+    }
+    // Proofs that come with the end of the entry only, as before.
+    EXPECT_GT((RepeatedCrash{8, 300ms, 5300ms, 0}.lateRepeats(bound)), 3);
+}
+
 } // namespace
 } // namespace chestnutvane
