--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -6,6 +6,7 @@
 
 #include "chestnutvane/base/hash.h"
 #include "chestnutvane/process/gateway/gateway.h"
+#include "chestnutvane/process/gateway/pause_wait.h"
 #include "chestnutvane/process/log.h"
 
 namespace chestnutvane {
@@ -254,9 +255,7 @@
     if (const auto at = earliestReturn(*pending, now, true)) {
         const ShutdownRequest request{*at, pending->deadlineAt, work.mean,
                                       pending->route->repeat == Repeat::Idempotent};
-        const Duration usable = std::chrono::duration_cast<Duration>(
-                (pending->deadlineAt - now) * placementSettings_.usableTimeShare);
-        if (*at + work.mean <= now + usable
+        if (shouldAwaitReturn(*at, {now, pending->deadlineAt, work.mean})
             && (!shutdown_ || maySendBeforeShutdown(*shutdown_, request))) {
             pending->plannedTarget = 0;
             if (pauseTimer_.expiry() <= now || *at < pauseTimer_.expiry()) {
