Move the gateway's modules into folders by the state that they own

Cause: 90 files lay flat in process/gateway/, and the parts for teams, quotas, cost and memory would have been added to them. admission/, work/, limits/, fleet/ and store/ follow docs/CONTRIBUTING.md; no line of code changes but includes. fleet_link and the request path stay, as they call into several folders. Result: the gateway and its tests build; no behaviour changes.

--- a/chestnutvane/process/gateway/pause_wait.cc
+++ b/chestnutvane/process/gateway/admission/pause_wait.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/pause_wait.h"
+#include "chestnutvane/process/gateway/admission/pause_wait.h"
 
 namespace chestnutvane {
 namespace {
--- a/chestnutvane/process/gateway/pause_wait_test.cc
+++ b/chestnutvane/process/gateway/admission/pause_wait_test.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/pause_wait.h"
+#include "chestnutvane/process/gateway/admission/pause_wait.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/chestnutvane/process/gateway/shutdown_admission.cc
+++ b/chestnutvane/process/gateway/admission/shutdown_admission.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/shutdown_admission.h"
+#include "chestnutvane/process/gateway/admission/shutdown_admission.h"
 
 namespace chestnutvane {
 namespace {
--- a/chestnutvane/process/gateway/feed_sharing_test.cc
+++ b/chestnutvane/process/gateway/fleet/feed_sharing_test.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/feed_sharing.h"
+#include "chestnutvane/process/gateway/fleet/feed_sharing.h"
 
 #include <gtest/gtest.h>
 
--- a/chestnutvane/process/gateway/load_report.cc
+++ b/chestnutvane/process/gateway/fleet/load_report.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/load_report.h"
+#include "chestnutvane/process/gateway/fleet/load_report.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/chestnutvane/process/gateway/load_report.h
+++ b/chestnutvane/process/gateway/fleet/load_report.h
@@ -26,7 +26,7 @@
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/base/time.h"
 #include "chestnutvane/process/crash_suspects.h"
-#include "chestnutvane/process/gateway/feed_sharing.h"
+#include "chestnutvane/process/gateway/fleet/feed_sharing.h"
 
 namespace chestnutvane {
 
--- a/chestnutvane/process/gateway/load_report_test.cc
+++ b/chestnutvane/process/gateway/fleet/load_report_test.cc
@@ -1,10 +1,10 @@
-#include "chestnutvane/process/gateway/load_report.h"
+#include "chestnutvane/process/gateway/fleet/load_report.h"
 
 #include <gtest/gtest.h>
 
 #include <random>
 
-#include "chestnutvane/process/gateway/crash_watch.h"
+#include "chestnutvane/process/gateway/limits/crash_watch.h"
 
 namespace chestnutvane {
 namespace {
--- a/chestnutvane/process/gateway/relay_batch.cc
+++ b/chestnutvane/process/gateway/fleet/relay_batch.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/relay_batch.h"
+#include "chestnutvane/process/gateway/fleet/relay_batch.h"
 
 #include <algorithm>
 #include <limits>
--- a/chestnutvane/process/gateway/relay_batch_test.cc
+++ b/chestnutvane/process/gateway/fleet/relay_batch_test.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/relay_batch.h"
+#include "chestnutvane/process/gateway/fleet/relay_batch.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/chestnutvane/process/gateway/report_relay.cc
+++ b/chestnutvane/process/gateway/fleet/report_relay.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/report_relay.h"
+#include "chestnutvane/process/gateway/fleet/report_relay.h"
 
 #include <algorithm>
 #include <tuple>
--- a/chestnutvane/process/gateway/report_relay.h
+++ b/chestnutvane/process/gateway/fleet/report_relay.h
@@ -32,7 +32,7 @@
 #include <vector>
 
 #include "chestnutvane/base/time.h"
-#include "chestnutvane/process/gateway/relay_batch.h"
+#include "chestnutvane/process/gateway/fleet/relay_batch.h"
 
 namespace chestnutvane {
 
--- a/chestnutvane/process/gateway/fleet_link.h
+++ b/chestnutvane/process/gateway/fleet_link.h
@@ -24,9 +24,9 @@
 
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/connection/caller_connection.h"
+#include "chestnutvane/process/gateway/fleet/load_report.h"
+#include "chestnutvane/process/gateway/fleet/report_relay.h"
 #include "chestnutvane/process/gateway/gateway.h"
-#include "chestnutvane/process/gateway/load_report.h"
-#include "chestnutvane/process/gateway/report_relay.h"
 
 namespace chestnutvane {
 
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -5,8 +5,8 @@
 #include <boost/asio/post.hpp>
 
 #include "chestnutvane/base/hash.h"
+#include "chestnutvane/process/gateway/admission/pause_wait.h"
 #include "chestnutvane/process/gateway/gateway.h"
-#include "chestnutvane/process/gateway/pause_wait.h"
 #include "chestnutvane/process/log.h"
 
 namespace chestnutvane {
--- a/chestnutvane/process/gateway/gateway_process.h
+++ b/chestnutvane/process/gateway/gateway_process.h
@@ -22,8 +22,8 @@
 #include "chestnutvane/process/gateway/directory.h"
 #include "chestnutvane/process/gateway/fleet_link.h"
 #include "chestnutvane/process/gateway/gateway.h"
-#include "chestnutvane/process/gateway/learned_state_persister.h"
-#include "chestnutvane/process/gateway/store_feed.h"
+#include "chestnutvane/process/gateway/store/learned_state_persister.h"
+#include "chestnutvane/process/gateway/store/store_feed.h"
 #include "chestnutvane/process/owner_thread.h"
 
 namespace chestnutvane {
--- a/chestnutvane/process/gateway/gateway_settings.h
+++ b/chestnutvane/process/gateway/gateway_settings.h
@@ -18,7 +18,7 @@
 
 #include "chestnutvane/base/time.h"
 #include "chestnutvane/connection/header_names.h"
-#include "chestnutvane/process/gateway/send_limits.h"
+#include "chestnutvane/process/gateway/limits/send_limits.h"
 #include "chestnutvane/process/settings.h"
 
 namespace chestnutvane {
--- a/chestnutvane/process/gateway/crash_watch_test.cc
+++ b/chestnutvane/process/gateway/limits/crash_watch_test.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/crash_watch.h"
+#include "chestnutvane/process/gateway/limits/crash_watch.h"
 
 #include <gtest/gtest.h>
 
--- a/chestnutvane/process/gateway/send_limits.cc
+++ b/chestnutvane/process/gateway/limits/send_limits.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/send_limits.h"
+#include "chestnutvane/process/gateway/limits/send_limits.h"
 
 #include <algorithm>
 
--- a/chestnutvane/process/gateway/feed_change.cc
+++ b/chestnutvane/process/gateway/store/feed_change.cc
@@ -1,10 +1,10 @@
-#include "chestnutvane/process/gateway/feed_change.h"
+#include "chestnutvane/process/gateway/store/feed_change.h"
 
 #include <algorithm>
 
 #include "chestnutvane/base/deflate.h"
 #include "chestnutvane/base/hash.h"
-#include "chestnutvane/process/gateway/entry_codec.h"
+#include "chestnutvane/process/gateway/store/entry_codec.h"
 
 namespace chestnutvane {
 namespace {
--- a/chestnutvane/process/gateway/feed_change_test.cc
+++ b/chestnutvane/process/gateway/store/feed_change_test.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/feed_change.h"
+#include "chestnutvane/process/gateway/store/feed_change.h"
 
 #include <gtest/gtest.h>
 
--- a/chestnutvane/process/gateway/feed_content.cc
+++ b/chestnutvane/process/gateway/store/feed_content.cc
@@ -1,7 +1,7 @@
-#include "chestnutvane/process/gateway/feed_content.h"
+#include "chestnutvane/process/gateway/store/feed_content.h"
 
 #include "chestnutvane/base/deflate.h"
-#include "chestnutvane/process/gateway/entry_codec.h"
+#include "chestnutvane/process/gateway/store/entry_codec.h"
 
 namespace chestnutvane {
 namespace {
--- a/chestnutvane/process/gateway/feed_content_test.cc
+++ b/chestnutvane/process/gateway/store/feed_content_test.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/feed_content.h"
+#include "chestnutvane/process/gateway/store/feed_content.h"
 
 #include <gtest/gtest.h>
 
--- a/chestnutvane/process/gateway/instance_entry.h
+++ b/chestnutvane/process/gateway/store/instance_entry.h
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-#include "chestnutvane/process/gateway/load_report.h"
+#include "chestnutvane/process/gateway/fleet/load_report.h"
 
 namespace chestnutvane {
 
--- a/chestnutvane/process/gateway/instance_entry_test.cc
+++ b/chestnutvane/process/gateway/store/instance_entry_test.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/instance_entry.h"
+#include "chestnutvane/process/gateway/store/instance_entry.h"
 
 #include <gtest/gtest.h>
 
--- a/chestnutvane/process/gateway/learned_state.cc
+++ b/chestnutvane/process/gateway/store/learned_state.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/learned_state.h"
+#include "chestnutvane/process/gateway/store/learned_state.h"
 
 #include <nlohmann/json.hpp>
 
--- a/chestnutvane/process/gateway/learned_state.h
+++ b/chestnutvane/process/gateway/store/learned_state.h
@@ -21,7 +21,7 @@
 #include <vector>
 
 #include "chestnutvane/base/result.h"
-#include "chestnutvane/process/gateway/work_times.h"
+#include "chestnutvane/process/gateway/work/work_times.h"
 
 namespace chestnutvane {
 
--- a/chestnutvane/process/gateway/learned_state_persister.h
+++ b/chestnutvane/process/gateway/store/learned_state_persister.h
@@ -22,7 +22,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "chestnutvane/process/gateway/learned_state.h"
+#include "chestnutvane/process/gateway/store/learned_state.h"
 #include "chestnutvane/process/owner_thread.h"
 #include "chestnutvane/process/store.h"
 
--- a/chestnutvane/process/gateway/learned_state_persister_test.cc
+++ b/chestnutvane/process/gateway/store/learned_state_persister_test.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/learned_state_persister.h"
+#include "chestnutvane/process/gateway/store/learned_state_persister.h"
 
 #include <gtest/gtest.h>
 
--- a/chestnutvane/process/gateway/store_feed.cc
+++ b/chestnutvane/process/gateway/store/store_feed.cc
@@ -1,8 +1,8 @@
-#include "chestnutvane/process/gateway/store_feed.h"
+#include "chestnutvane/process/gateway/store/store_feed.h"
 
 #include <algorithm>
 
-#include "chestnutvane/process/gateway/instance_entry.h"
+#include "chestnutvane/process/gateway/store/instance_entry.h"
 #include "chestnutvane/process/log.h"
 
 namespace chestnutvane {
--- a/chestnutvane/process/gateway/store_feed.h
+++ b/chestnutvane/process/gateway/store/store_feed.h
@@ -31,10 +31,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "chestnutvane/process/gateway/feed_change.h"
-#include "chestnutvane/process/gateway/feed_content.h"
-#include "chestnutvane/process/gateway/feed_sharing.h"
-#include "chestnutvane/process/gateway/load_report.h"
+#include "chestnutvane/process/gateway/fleet/feed_sharing.h"
+#include "chestnutvane/process/gateway/fleet/load_report.h"
+#include "chestnutvane/process/gateway/store/feed_change.h"
+#include "chestnutvane/process/gateway/store/feed_content.h"
 #include "chestnutvane/process/gateway/target_registry.h"
 #include "chestnutvane/process/owner_thread.h"
 #include "chestnutvane/process/store.h"
--- a/chestnutvane/process/gateway/store_feed_content.cc
+++ b/chestnutvane/process/gateway/store/store_feed_content.cc
@@ -1,6 +1,6 @@
 // Applies lists read from the store, and changes and content received from peers.
 
-#include "chestnutvane/process/gateway/store_feed.h"
+#include "chestnutvane/process/gateway/store/store_feed.h"
 #include "chestnutvane/process/log.h"
 
 namespace chestnutvane {
--- a/chestnutvane/process/gateway/store_feed_test.cc
+++ b/chestnutvane/process/gateway/store/store_feed_test.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/store_feed.h"
+#include "chestnutvane/process/gateway/store/store_feed.h"
 
 #include <gtest/gtest.h>
 
--- a/chestnutvane/process/gateway/target_registry_test.cc
+++ b/chestnutvane/process/gateway/target_registry_test.cc
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "chestnutvane/process/gateway/feed_change.h"
+#include "chestnutvane/process/gateway/store/feed_change.h"
 
 namespace chestnutvane {
 namespace {
--- a/chestnutvane/process/gateway/placement.cc
+++ b/chestnutvane/process/gateway/work/placement.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/placement.h"
+#include "chestnutvane/process/gateway/work/placement.h"
 
 #include <algorithm>
 #include <limits>
--- a/chestnutvane/process/gateway/placement_overload_test.cc
+++ b/chestnutvane/process/gateway/work/placement_overload_test.cc
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "chestnutvane/base/hash.h"
-#include "chestnutvane/process/gateway/placement.h"
 #include "chestnutvane/process/gateway/target_registry.h"
-#include "chestnutvane/process/gateway/work_times.h"
+#include "chestnutvane/process/gateway/work/placement.h"
+#include "chestnutvane/process/gateway/work/work_times.h"
 
 namespace chestnutvane {
 namespace {
--- a/chestnutvane/process/gateway/placement_regions_test.cc
+++ b/chestnutvane/process/gateway/work/placement_regions_test.cc
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "chestnutvane/base/hash.h"
-#include "chestnutvane/process/gateway/placement.h"
 #include "chestnutvane/process/gateway/target_registry.h"
+#include "chestnutvane/process/gateway/work/placement.h"
 
 namespace chestnutvane {
 namespace {
--- a/chestnutvane/process/gateway/work_times.h
+++ b/chestnutvane/process/gateway/work/work_times.h
@@ -15,7 +15,7 @@
 #include <string>
 
 #include "chestnutvane/base/time.h"
-#include "chestnutvane/process/gateway/placement.h"
+#include "chestnutvane/process/gateway/work/placement.h"
 
 namespace chestnutvane {
 
--- a/chestnutvane/process/gateway/work_times_test.cc
+++ b/chestnutvane/process/gateway/work/work_times_test.cc
@@ -1,4 +1,4 @@
-#include "chestnutvane/process/gateway/work_times.h"
+#include "chestnutvane/process/gateway/work/work_times.h"
 
 #include <gtest/gtest.h>
 
