Serve teams: keys, importance, homes and routes open to all

Cause: no rule, state or message of the product knew a team. Change: TeamTable finds the team of a key in constant time and holds digests only; team_access decides whether a request may be served, its importance and its homes. The team is bound at arrival and follows the newest revision while a request waits. An unknown key is refused with 401 only once the configuration was confirmed after it was first seen, else with 503 (admission/unknown_keys); it costs no store call.

--- a/chestnutvane/connection/header_names.h
+++ b/chestnutvane/connection/header_names.h
@@ -20,6 +20,9 @@
     std::string notRun = "Vane-Not-Run"; // a target's word that it did not run the request
     std::string load = "Target-Load"; // "running,waiting,slots"
     std::string leaving = "Target-Leaving"; // "1": the target that answers is shutting down
+    std::string credentials = "Authorization"; // of a caller: scheme and key of its team
+    std::string credentialScheme = "Bearer";
+    std::string team = "Vane-Team"; // the name of the caller's team, for the target
     std::string targetId = "Answer-Target"; // the id of the target that answers
 };
 
--- a/chestnutvane/connection/retry_after.h
+++ b/chestnutvane/connection/retry_after.h
@@ -1,4 +1,4 @@
-// Reads the Retry-After header of a refusal, in seconds with an optional fraction.
+// Reads and writes the Retry-After header of a refusal, in seconds with an optional fraction.
 //
 // Example:
 //
@@ -9,6 +9,7 @@
 // Pure functions without state.
 #pragma once
 
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -47,4 +48,7 @@
 // Reads the values of all Retry-After headers of a message.
 [[nodiscard]] RetryAfter readRetryAfter(const std::vector<std::string_view> &values);
 
+// Writes the value of the header, in seconds with two decimals.
+[[nodiscard]] std::string retryAfterText(Duration pause);
+
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -15,6 +15,8 @@
 
 // Grace period after the deadline, for a target's response at the deadline to arrive.
 constexpr Milliseconds responseMargin{60};
+// About the start-up time of an instance.
+constexpr Milliseconds startupRetryAfter{300};
 // Decay of the failure rate and run time factor per tick, so that an avoided target is tried again.
 constexpr double decayPerTick = 0.05;
 
@@ -44,7 +46,7 @@
 // could still meet its aim.
 auto queueOrder(const PendingRequest &pending, TimePoint now)
 {
-    return std::tuple(pending.aimAt <= now, pending.route->importance, pending.call.arrival);
+    return std::tuple(pending.aimAt <= now, pending.importance, pending.call.arrival);
 }
 
 } // namespace
@@ -58,27 +60,18 @@
 void Gateway::handle(Call call)
 {
     const HttpRequestMessage &request = *call.request;
-    const std::string id = headerText(request, settings_.headers.requestId);
-    const auto answerNow = [&](http::status status, std::string_view reason) {
-        HttpResponseMessage message(status, 11);
-        if (!id.empty())
-            message.set(settings_.headers.requestId, id);
-        // Seconds; about the start-up time of an instance.
-        constexpr const char *startupRetryAfter = "0.3";
-        if (status == http::status::service_unavailable)
-            message.set(http::field::retry_after, startupRetryAfter);
-        logEvent(Event::RequestRefused,
-                 {{"request", id}, {"status", static_cast<int>(status)}, {"reason", reason}});
-        call.answer(std::move(message));
-    };
     if (!table_)
-        return answerNow(http::status::service_unavailable, "no-configuration");
+        return answerAtArrival(call, http::status::service_unavailable, "no-configuration",
+                               startupRetryAfter);
     const Route *route = table_->find(
             std::string_view(request[http::field::host].data(), request[http::field::host].size()),
             std::string_view(request.target().data(), request.target().size()));
     if (route == nullptr)
-        return answerNow(http::status::not_found, "no-route");
-    const auto pending = makePending(std::move(call), *route);
+        return answerAtArrival(call, http::status::not_found, "no-route", Duration{0});
+    const Access access = accessFor(request, *table_, *route);
+    if (!access.isAllowed())
+        return answerDenied(call, access);
+    const auto pending = makePending(std::move(call), *route, access);
     pending->call.onGone([this, pending] { onCallerDisconnected(pending); });
     pending->deadlineTimer.expires_at(pending->deadlineAt + responseMargin);
     pending->deadlineTimer.async_wait([this, pending](const boost::system::error_code &ended) {
@@ -92,14 +85,61 @@
     runPass(pending->service, PassScope::Affected);
 }
 
-Gateway::Pending Gateway::makePending(Call call, const Route &route)
+void Gateway::answerAtArrival(const Call &call, http::status status, std::string_view reason,
+                              Duration retryAfter) const
+{
+    const std::string id = headerText(*call.request, settings_.headers.requestId);
+    HttpResponseMessage message(status, 11);
+    if (!id.empty())
+        message.set(settings_.headers.requestId, id);
+    if (retryAfter > Duration::zero())
+        message.set(http::field::retry_after, retryAfterText(retryAfter));
+    logEvent(Event::RequestRefused,
+             {{"request", id}, {"status", static_cast<int>(status)}, {"reason", reason}});
+    call.answer(std::move(message));
+}
+
+Access Gateway::accessFor(const HttpRequestMessage &request, const RouteTable &table,
+                          const Route &route) const
+{
+    const auto found = request.find(settings_.headers.credentials);
+    const std::string_view credentials = found == request.end()
+            ? std::string_view()
+            : std::string_view(found->value().data(), found->value().size());
+    return accessOf(table, route, credentials, settings_.headers.credentialScheme);
+}
+
+void Gateway::answerDenied(const Call &call, const Access &access)
+{
+    const auto reason = enumName(accessVerdictNames, access.verdict);
+    metrics_.increment("vane_gateway_access_denied_total", {{"reason", std::string(reason)}});
+    // A request without a key is judged like one with a wrong key: the newest configuration may
+    // have opened its route.
+    const std::string credentials = headerText(*call.request, settings_.headers.credentials);
+    const Milliseconds age = configurationAge_ ? configurationAge_() : Milliseconds{0};
+    if (unknownKeys_.judge(credentials, BootClock::now(), age) == KeyJudgement::Wrong)
+        return answerAtArrival(call, http::status::unauthorized, reason, Duration{0});
+    answerAtArrival(call, http::status::service_unavailable, "key-not-known-yet",
+                    confirmationTimeout);
+}
+
+void Gateway::setPolicy(PendingRequest &pending, std::shared_ptr<const RouteTable> table,
+                        const Route &route, const Team *team)
+{
+    pending.policyTable = std::move(table);
+    pending.team = team != nullptr ? team->name : std::string();
+    pending.teamKey = team != nullptr ? team->id : 0;
+    pending.importance = importanceOf(route, team);
+    pending.homeRegions = homesOf(route, team);
+}
+
+Gateway::Pending Gateway::makePending(Call call, const Route &route, const Access &access)
 {
     auto pending = std::make_shared<PendingRequest>(io_);
     const HttpRequestMessage &request = *call.request;
     pending->table = table_;
     pending->route = &route;
-    pending->homeRegions = route.homeRegions;
-    pending->homesTable = table_;
+    setPolicy(*pending, table_, route, access.team);
     pending->service = splits_.next(route);
     pending->id = headerText(request, settings_.headers.requestId);
     if (const std::string key = headerText(request, settings_.headers.objectKey);
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -30,6 +30,7 @@
 #include "chestnutvane/connection/caller_connection.h"
 #include "chestnutvane/connection/target_exchange.h"
 #include "chestnutvane/process/gateway/admission/shutdown_admission.h"
+#include "chestnutvane/process/gateway/admission/unknown_keys.h"
 #include "chestnutvane/process/gateway/fleet/load_report.h"
 #include "chestnutvane/process/gateway/gateway_settings.h"
 #include "chestnutvane/process/gateway/limits/crash_watch.h"
@@ -41,6 +42,7 @@
 #include "chestnutvane/process/gateway/work/work_times.h"
 #include "chestnutvane/process/metrics.h"
 #include "chestnutvane/version/route_table.h"
+#include "chestnutvane/version/team_access.h"
 
 namespace chestnutvane {
 
@@ -53,10 +55,13 @@
     // Route table of the revision that applies to the request.
     std::shared_ptr<const RouteTable> table;
     const Route *route = nullptr;
-    // Regions that may serve the request, of the newest revision that has a route for it; empty:
-    // any region may.
-    std::vector<std::string> homeRegions;
-    std::shared_ptr<const RouteTable> homesTable; // the revision that homeRegions was taken from
+    // What the newest revision that has a route for the request says of it; the rest of the route
+    // is bound at its arrival.
+    std::string team; // the caller's team; empty: none
+    std::uint64_t teamKey = 0; // Team::id; 0: none
+    int importance = 0; // 0 is the most important
+    std::optional<std::vector<std::string>> homeRegions; // that may serve it; nothing: any
+    std::shared_ptr<const RouteTable> policyTable; // the revision of these fields
     std::string service;
     std::string id;
     std::uint64_t object = 0; // key of the object; 0: no object affinity
@@ -139,6 +144,12 @@
     // the same region.
     [[nodiscard]] LearnedState learnedState() const;
 
+    // Sets a function that returns how long ago the configuration was last known to be the newest.
+    void setConfigurationAge(std::function<Milliseconds()> function)
+    {
+        configurationAge_ = std::move(function);
+    }
+
     // Call when a target ended without draining: it restarted or is no longer registered.
     void onTargetEnded(const std::string &id) { chargeLostRequests(reportKey(hash64(id))); }
 
@@ -193,7 +204,16 @@
     using Queue = std::vector<Pending>;
 
     // Request intake (gateway.cc).
-    [[nodiscard]] Pending makePending(Call call, const Route &route);
+    [[nodiscard]] Pending makePending(Call call, const Route &route, const Access &access);
+    // Answers a request that is not admitted, before it has a place in a queue.
+    void answerAtArrival(const Call &call, http::status status, std::string_view reason,
+                         Duration retryAfter) const;
+    // Answers a request whose key no team holds, or that needs a key and has none.
+    void answerDenied(const Call &call, const Access &access);
+    [[nodiscard]] Access accessFor(const HttpRequestMessage &request, const RouteTable &table,
+                                   const Route &route) const;
+    static void setPolicy(PendingRequest &pending, std::shared_ptr<const RouteTable> table,
+                          const Route &route, const Team *team);
     void enqueue(const Pending &pending);
     void dequeue(const Pending &pending);
     void onCallerDisconnected(const Pending &pending);
@@ -211,8 +231,11 @@
     // snapshots.
     void fillCandidates(const PendingRequest &pending, const std::vector<TargetSnapshot> &snapshots,
                         std::vector<Candidate> &candidates, std::vector<std::size_t> &indices);
-    // Updates the home regions of a request that arrived under an earlier revision.
-    void updateHomeRegions(PendingRequest &pending) const;
+    // Applies the newest revision to the team and home regions of a request that waits. Returns
+    // whether the request may still be served.
+    [[nodiscard]] bool updatePolicy(PendingRequest &pending) const;
+    // Answers a request whose key was taken away while it waited.
+    void answerRevoked(const Pending &pending);
     [[nodiscard]] bool isSendAllowed(const std::string &service, const Target &target,
                                      TimePoint now);
     [[nodiscard]] bool shouldSendFirstRequest(const Target &target, TimePoint now) const;
@@ -264,6 +287,8 @@
     void refuse(const Pending &pending, std::string_view reason, Duration retryAfter);
     void answerWithError(const Pending &pending, http::status status, std::string_view reason);
     void finish(const Pending &pending, HttpResponseMessage message);
+    // Counts the result of a request of a team, under a bounded number of labels.
+    void countForTeam(const PendingRequest &pending, std::string_view result);
     void notifyLoadChange(const WarmObject *warmObject);
     RetryLimiter &retryLimiterOf(const std::string &service);
     WarmCapacityEstimator &warmCapacityOf(const std::string &service);
@@ -299,6 +324,9 @@
     std::map<std::string, double> responseSizes_; // mean in bytes, by route
     std::function<void(const WarmObject *)> onLoadChange_;
     std::function<void()> onCrashCharged_;
+    std::function<Milliseconds()> configurationAge_;
+    UnknownKeys unknownKeys_;
+    std::set<std::string> labelledTeams_; // teams with metrics of their own
     // Outlived by the callbacks of probes, which check it.
     std::shared_ptr<const bool> lifetime_ = std::make_shared<const bool>(true);
     std::optional<ShutdownWindow> shutdown_;
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -108,6 +108,7 @@
     logEvent(Event::RequestRouted,
              {{"request", pending->id},
               {"route", pending->route->name},
+              {"team", pending->team},
               {"target", target->entry.id},
               {"region", target->region},
               {"revision", pending->table->revision()},
@@ -138,6 +139,12 @@
     const auto left = std::max<std::int64_t>(toMilliseconds(pending.deadlineAt - now), 1);
     message->set(settings_.headers.deadlineMs, std::to_string(left));
     message->set(settings_.headers.expectedTarget, target.entry.id);
+    if (!pending.policyTable->teams().isEmpty()) {
+        message->erase(settings_.headers.credentials);
+        message->erase(settings_.headers.team);
+        if (!pending.team.empty())
+            message->set(settings_.headers.team, pending.team);
+    }
     if (!message->body().empty() || message->method() != http::verb::get)
         message->content_length(message->body().size());
     return message;
@@ -284,8 +291,8 @@
     retryOrAnswer(pending, enumName(exchangeFailureNames, failure.failure));
 }
 
-// Identifies a caller's request, also when it is repeated. The hash includes the caller, so that
-// equal requests of other callers are not charged.
+// Identifies a caller's request, also when it is repeated. The hash includes the caller, and its
+// team, so that equal requests of others are not charged.
 std::uint64_t Gateway::requestFingerprint(const PendingRequest &pending)
 {
     const HttpRequestMessage &request = *pending.call.request;
@@ -295,7 +302,7 @@
                                            .path = text(request.target()),
                                            .body = {request.body().data(), request.body().size()}});
     const std::string_view caller(pending.call.peer);
-    return hash64(caller.substr(0, caller.rfind(':')), print.low);
+    return hash64(caller.substr(0, caller.rfind(':')), print.low ^ pending.teamKey);
 }
 
 bool Gateway::isCrashSuspect(const PendingRequest &pending) const
@@ -418,6 +425,7 @@
               {"ms", toMilliseconds(Clock::now() - pending->call.arrival)}});
     metrics_.increment("vane_gateway_requests_total",
                        {{"route", pending->route->name}, {"result", std::string(outcome)}});
+    countForTeam(*pending, outcome);
     eraseHopByHopHeaders(message);
     finish(pending, std::move(message));
 }
@@ -426,11 +434,11 @@
 {
     HttpResponseMessage message(http::status::service_unavailable, 11);
     const auto wait = std::max<Duration>(retryAfter, minRetryAfter);
-    const std::string seconds = std::to_string(Seconds(wait).count());
-    message.set(http::field::retry_after, seconds.substr(0, seconds.find('.') + 3));
+    message.set(http::field::retry_after, retryAfterText(wait));
     logEvent(Event::RequestRefused,
              {{"request", pending->id},
               {"route", pending->route->name},
+              {"team", pending->team},
               {"status", message.result_int()},
               {"reason", reason},
               {"outcome", "not-run"},
@@ -444,6 +452,7 @@
               {"ms", toMilliseconds(Clock::now() - pending->call.arrival)}});
     metrics_.increment("vane_gateway_requests_total",
                        {{"route", pending->route->name}, {"result", "refused"}});
+    countForTeam(*pending, "refused");
     finish(pending, std::move(message));
 }
 
@@ -461,9 +470,39 @@
               {"ms", toMilliseconds(Clock::now() - pending->call.arrival)}});
     metrics_.increment("vane_gateway_requests_total",
                        {{"route", pending->route->name}, {"result", "failed"}});
+    countForTeam(*pending, "failed");
     finish(pending, HttpResponseMessage(status, 11));
 }
 
+void Gateway::answerRevoked(const Pending &pending)
+{
+    if (pending->runs > 0)
+        return answerUnserved(pending, "key-revoked", immediateRetryAfter);
+    logEvent(Event::RequestRefused,
+             {{"request", pending->id},
+              {"route", pending->route->name},
+              {"status", static_cast<int>(http::status::unauthorized)},
+              {"reason", "key-revoked"},
+              {"outcome", "not-run"},
+              {"revision", pending->policyTable->revision()}});
+    metrics_.increment("vane_gateway_access_denied_total", {{"reason", "key-revoked"}});
+    finish(pending, HttpResponseMessage(http::status::unauthorized, 11));
+}
+
+void Gateway::countForTeam(const PendingRequest &pending, std::string_view result)
+{
+    if (pending.team.empty())
+        return;
+    // Bounds the number of metrics if configurations come with ever new teams.
+    constexpr std::size_t maxLabelledTeams = 256;
+    const bool isLabelled = labelledTeams_.contains(pending.team)
+            || (labelledTeams_.size() < maxLabelledTeams
+                && labelledTeams_.insert(pending.team).second);
+    metrics_.increment("vane_gateway_team_requests_total",
+                       {{"team", isLabelled ? pending.team : std::string("other")},
+                        {"result", std::string(result)}});
+}
+
 void Gateway::finish(const Pending &pending, HttpResponseMessage message)
 {
     if (std::exchange(pending->done, true))
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -29,7 +29,7 @@
 bool isHomeRegion(const PendingRequest &pending, const std::string &region)
 {
     const auto &homes = pending.homeRegions;
-    return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
+    return !homes || std::find(homes->begin(), homes->end(), region) != homes->end();
 }
 
 // Logs once per request that it waits.
@@ -103,7 +103,11 @@
             snapshots[planned->second].shared.queueLength += 1;
             continue;
         }
-        updateHomeRegions(*pending);
+        if (!updatePolicy(*pending)) {
+            dequeue(pending);
+            answerRevoked(pending);
+            continue;
+        }
         fillCandidates(*pending, snapshots, candidates, indices);
         if (candidates.empty()) {
             awaitReturnOrAnswer(pending, now);
@@ -276,17 +280,21 @@
                                                 : std::min<Duration>(work.mean, maxRetryAfter));
 }
 
-// Only the home regions follow the newest revision. Everything else of the route is bound at the
-// arrival of the request, as an attempt may have been made on it already.
-void Gateway::updateHomeRegions(PendingRequest &pending) const
+// Only the team and the home regions follow the newest revision. Everything else of the route is
+// bound at the arrival of the request, as an attempt may have been made on it already.
+bool Gateway::updatePolicy(PendingRequest &pending) const
 {
-    if (pending.homesTable == table_)
-        return;
-    pending.homesTable = table_;
+    if (pending.policyTable == table_)
+        return true;
     const HttpRequestMessage &request = *pending.call.request;
     const auto text = [](const auto &view) { return std::string_view(view.data(), view.size()); };
-    if (const Route *route = table_->find(text(request[http::field::host]), text(request.target())))
-        pending.homeRegions = route->homeRegions;
+    const Route *route = table_->find(text(request[http::field::host]), text(request.target()));
+    const Route &policyRoute = route != nullptr ? *route : *pending.route;
+    const Access access = accessFor(request, *table_, policyRoute);
+    if (!access.isAllowed())
+        return false;
+    setPolicy(pending, table_, policyRoute, access.team);
+    return true;
 }
 
 bool Gateway::isSendAllowed(const std::string &service, const Target &target, TimePoint now)
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -79,6 +79,7 @@
     if (!isOk(link))
         return error(link);
     link_ = value(std::move(link));
+    gateway_.setConfigurationAge([this] { return feed_.operatorAge(); });
     link_->setFeedCallbacks(
             [this](LoadReport &report) {
                 report.targetsFeed = feed_.targetsStatus();
--- a/chestnutvane/process/gateway/store/store_feed.h
+++ b/chestnutvane/process/gateway/store/store_feed.h
@@ -48,13 +48,13 @@
     MissingField,
     BadField, // wrong type or invalid value
     BadRoutes, // the routes contradict each other
+    BadTeams, // the teams contradict each other
 };
 
 inline constexpr EnumName<FeedFault> feedFaultNames[] = {
-        {FeedFault::NotReadable, "not-readable"},
-        {FeedFault::MissingField, "missing-field"},
-        {FeedFault::BadField, "bad-field"},
-        {FeedFault::BadRoutes, "bad-routes"},
+        {FeedFault::NotReadable, "not-readable"}, {FeedFault::MissingField, "missing-field"},
+        {FeedFault::BadField, "bad-field"},       {FeedFault::BadRoutes, "bad-routes"},
+        {FeedFault::BadTeams, "bad-teams"},
 };
 
 struct FeedError
--- a/chestnutvane/version/route_table.cc
+++ b/chestnutvane/version/route_table.cc
@@ -42,7 +42,8 @@
 
 Result<std::shared_ptr<const RouteTable>, RouteError>
 RouteTable::create(std::uint64_t revision, std::vector<Route> routes,
-                   std::map<std::string, ServiceSpec> services, CallerLimits limits)
+                   std::map<std::string, ServiceSpec> services, CallerLimits limits,
+                   TeamTable teams)
 {
     const std::shared_ptr<RouteTable> table(new RouteTable);
     std::set<std::pair<std::string, std::string>> places;
@@ -62,6 +63,7 @@
     table->routes_ = std::move(routes);
     table->services_ = std::move(services);
     table->limits_ = limits;
+    table->teams_ = std::move(teams);
     return std::shared_ptr<const RouteTable>(table);
 }
 
--- a/chestnutvane/version/route_table.h
+++ b/chestnutvane/version/route_table.h
@@ -1,4 +1,5 @@
-// The routes of one configuration revision: which service serves a host and a path, and how.
+// The routes and teams of one configuration revision: which service serves a host and a path, how,
+// and for whom.
 //
 // Example:
 //
@@ -21,6 +22,7 @@
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/base/time.h"
 #include "chestnutvane/request/request_class.h"
+#include "chestnutvane/version/team_table.h"
 
 namespace chestnutvane {
 
@@ -46,6 +48,7 @@
     int maxAttempts = 1; // targets that one request may be sent to
     bool objectAffinity = false; // a target that served the object of a request lately is faster
     std::vector<std::string> homeRegions; // empty: any region may serve the route
+    bool openToAll = false; // needs no key of a team
 };
 
 struct ServiceSpec
@@ -92,7 +95,7 @@
     // Checks the routes and builds the index. Errors: the first faulty route.
     static Result<std::shared_ptr<const RouteTable>, RouteError>
     create(std::uint64_t revision, std::vector<Route> routes,
-           std::map<std::string, ServiceSpec> services, CallerLimits limits);
+           std::map<std::string, ServiceSpec> services, CallerLimits limits, TeamTable teams = {});
 
     // The route of the host with the longest prefix that begins the path, or nullptr. A query
     // string may follow the path. The host is compared without regard to case and port.
@@ -102,6 +105,7 @@
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
     [[nodiscard]] const CallerLimits &limits() const { return limits_; }
     [[nodiscard]] const std::vector<Route> &routes() const { return routes_; }
+    [[nodiscard]] const TeamTable &teams() const { return teams_; }
 
 private:
     RouteTable() = default;
@@ -110,6 +114,7 @@
     std::vector<Route> routes_;
     std::map<std::string, ServiceSpec> services_;
     CallerLimits limits_;
+    TeamTable teams_;
     std::unordered_map<std::string, std::vector<std::size_t>> byHost_; // longest prefix first
 };
 
