Decide on fair turns, slot reserves and return times

Requests waited by importance and arrival alone: a team that sent six times its usual took the slots of the others, long patient requests held the slots that short urgent ones needed, and all refused callers were told the same time. The decisions are pure functions over plain structs; TeamShares keeps the slot time of teams and merges what other instances report.

--- a/chestnutvane/process/gateway/admission/team_shares.h
+++ b/chestnutvane/process/gateway/admission/team_shares.h
@@ -20,6 +20,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -71,7 +72,7 @@
     // Used relative to entitled slot time; the team with the lowest level is served first.
     [[nodiscard]] double level(std::uint64_t team, TimePoint now) const;
 
-    // Removes figures that no longer count. Call about once a second.
+    // Removes figures that no longer count. Call twice a second.
     void expire(TimePoint now);
 
     // Number of teams with figures of this instance.
@@ -94,26 +95,37 @@
     {
         double used = 0;
         double asked = 0;
-        double usual = 0;
-        TimePoint at;
+        double usual = 0; // of what was asked before the window of `asked`
+        TimePoint at{};
+
+        void decayTo(TimePoint now);
     };
     struct PeerFigures
     {
         std::vector<TeamUse> uses;
         TimePoint receivedAt;
     };
+    struct PeerSum
+    {
+        int peers = 0;
+        std::uint64_t usedMs = 0;
+        std::uint64_t entitledMs = 0;
+    };
 
-    [[nodiscard]] static Figures decayed(const Figures &figures, TimePoint now);
     Figures &figuresOf(std::uint64_t team, TimePoint now);
-    [[nodiscard]] Standing ownStanding(const Figures &figures, TimePoint now) const;
-    [[nodiscard]] double meanUsual(TimePoint now) const;
+    // Usual demand of a team in seconds of slot time within useWindow.
+    [[nodiscard]] double usualInUseWindow(const Figures &figures, TimePoint now) const;
+    [[nodiscard]] Standing ownStanding(std::uint32_t team, TimePoint now) const;
+    // Subtracts a report from peerSums_.
+    void subtract(std::span<const TeamUse> uses);
 
     TimePoint createdAt_;
-    TimePoint shortageAt_ = TimePoint::min();
+    std::optional<TimePoint> shortageAt_; // last call of onShortage()
     std::unordered_map<std::uint32_t, Figures> teams_;
     std::map<std::uint64_t, PeerFigures> peers_; // by instance
-    double usualSum_ = 0; // of teams_, as of usualSumAt_
-    TimePoint usualSumAt_;
+    // Sums of peers_, as each placement pass asks for the standing of many teams.
+    std::unordered_map<std::uint32_t, PeerSum> peerSums_;
+    Figures sum_; // of all teams
 };
 
 } // namespace chestnutvane
