--- a/chestnutvane/process/gateway/admission/arrival_rates.cc
+++ b/chestnutvane/process/gateway/admission/arrival_rates.cc
@@ -14,28 +14,30 @@
     return count.requests * std::exp(-(Seconds(now - count.at) / Seconds(window)));
 }
 
-void ArrivalRates::onArrival(int importance, Duration aim, TimePoint now)
+void ArrivalRates::onArrival(int importance, TimePoint now)
 {
-    Count &count = counts_[{importance, aim}];
+    Count &count = counts_[importance];
     count = {decayedCount(count, now) + 1, now};
 }
 
 double ArrivalRates::perSecond(TimePoint now) const
 {
     double requests = 0;
-    for (const auto &[kind, count] : counts_)
+    for (const auto &[importance, count] : counts_)
         requests += decayedCount(count, now);
     return requests / Seconds(window).count();
 }
 
-double ArrivalRates::moreUrgentThan(int importance, Duration aim, TimePoint now) const
+double ArrivalRates::lessImportantShare(int importance, TimePoint now) const
 {
-    double requests = 0;
-    for (const auto &[kind, count] : counts_) {
-        if (kind.first < importance && kind.second < aim)
-            requests += decayedCount(count, now);
+    double all = 0;
+    double lessImportant = 0;
+    for (const auto &[other, count] : counts_) {
+        const double requests = decayedCount(count, now);
+        all += requests;
+        lessImportant += other > importance ? requests : 0;
     }
-    return requests / Seconds(window).count();
+    return all > 0 ? lessImportant / all : 0;
 }
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/admission/arrival_rates.h
+++ b/chestnutvane/process/gateway/admission/arrival_rates.h
@@ -1,15 +1,14 @@
-// Rates at which requests of each urgency arrive at this instance, per service.
+// Rates at which requests of each importance arrive at this instance, for one service.
 //
 // Example:
 //
-//   rates.onArrival(route.importance, route.aim, now);
-//   const double urgent = rates.moreUrgentThan(route.importance, route.aim, now);
+//   rates.onArrival(request.importance, now);
+//   const double share = rates.lessImportantShare(request.importance, now);
 //
 // Not thread-safe.
 #pragma once
 
 #include <map>
-#include <utility>
 
 #include "chestnutvane/base/time.h"
 
@@ -18,13 +17,13 @@
 class ArrivalRates
 {
 public:
-    void onArrival(int importance, Duration aim, TimePoint now);
+    void onArrival(int importance, TimePoint now);
 
-    // Requests per second of all kinds.
+    // Requests per second of all importances.
     [[nodiscard]] double perSecond(TimePoint now) const;
 
-    // Requests per second that are more important than the request given and have a shorter aim.
-    [[nodiscard]] double moreUrgentThan(int importance, Duration aim, TimePoint now) const;
+    // Share of the requests that are less important than the importance given.
+    [[nodiscard]] double lessImportantShare(int importance, TimePoint now) const;
 
     // Time constant of the rates. Bursts rise within a second or two; a shorter time would count
     // too few requests at one instance of many.
@@ -38,7 +37,7 @@
     };
     [[nodiscard]] static double decayedCount(const Count &count, TimePoint now);
 
-    std::map<std::pair<int, Duration>, Count> counts_; // by importance and aim
+    std::map<int, Count> counts_; // by importance, 0 is the most important
 };
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/admission/team_shares.cc
+++ b/chestnutvane/process/gateway/admission/team_shares.cc
@@ -14,9 +14,9 @@
 // A team is entitled to at least this part of the mean usual demand, so that the few requests of a
 // small team do not count as an excess.
 constexpr double smallTeamPart = 0.25;
-// Level relative to that of the other teams from which a team counts as above its share. Below, the
-// figures of few requests vary too much.
-constexpr double reportedLevel = 1.5;
+// Level relative to the typical one from which a team is reported as above its share. Below, the
+// figures of few requests vary too much to tell teams apart.
+constexpr double aboveShare = 1.5;
 // Lower limit of an entitlement, so that levels are finite.
 constexpr double minEntitledSeconds = 1e-3;
 // Figures below this are removed.
@@ -173,34 +173,26 @@
     {
         std::uint32_t team;
         Standing standing;
+        double excess;
     };
     std::vector<Own> own;
-    Standing all;
     for (const auto &[team, figures] : teams_) {
-        own.push_back({team, ownStanding(team, now)});
-        all.used += own.back().standing.used;
-        all.entitled += own.back().standing.entitled;
+        const Standing standing = ownStanding(team, now);
+        const double excess = standing.used - aboveShare * typicalLevel_ * standing.entitled;
+        if (excess > 0 || peerSums_.contains(team))
+            own.push_back({team, standing, excess});
     }
-    const auto excess = [&](const Standing &standing) {
-        const double levelOfOthers = (all.used - standing.used)
-                / std::max(all.entitled - standing.entitled, minEntitledSeconds);
-        return standing.used - reportedLevel * levelOfOthers * standing.entitled;
-    };
-    std::erase_if(own, [&](const Own &entry) {
-        return excess(entry.standing) <= 0 && !peerSums_.contains(entry.team);
-    });
-    std::ranges::sort(own, std::greater{}, [&](const Own &entry) {
-        return std::pair(excess(entry.standing), entry.team);
-    });
+    std::ranges::sort(own, std::greater{},
+                      [](const Own &entry) { return std::pair(entry.excess, entry.team); });
     own.resize(std::min(own.size(), maxReported));
     std::vector<TeamUse> uses;
     uses.reserve(own.size());
-    for (const auto &[team, standing] : own)
+    for (const auto &[team, standing, excess] : own)
         uses.push_back({team, toMilliseconds(standing.used), toMilliseconds(standing.entitled)});
     return uses;
 }
 
-void TeamShares::expire(TimePoint now)
+void TeamShares::update(TimePoint now)
 {
     std::erase_if(peers_, [&](const auto &entry) {
         const PeerFigures &peer = entry.second;
@@ -215,6 +207,16 @@
         const Figures &figures = entry.second;
         return figures.used + figures.asked + figures.usual < negligibleSeconds;
     });
+    std::vector<double> levels;
+    levels.reserve(teams_.size());
+    for (const auto &[team, figures] : teams_)
+        levels.push_back(level(team, now));
+    typicalLevel_ = 0;
+    if (levels.empty())
+        return;
+    const auto median = levels.begin() + static_cast<std::ptrdiff_t>((levels.size() - 1) / 2);
+    std::nth_element(levels.begin(), median, levels.end());
+    typicalLevel_ = *median;
 }
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/admission/team_shares.h
+++ b/chestnutvane/process/gateway/admission/team_shares.h
@@ -72,8 +72,9 @@
     // Used relative to entitled slot time; the team with the lowest level is served first.
     [[nodiscard]] double level(std::uint64_t team, TimePoint now) const;
 
-    // Removes figures that no longer count. Call twice a second.
-    void expire(TimePoint now);
+    // Removes figures that no longer count, and updates the level from which teams are reported.
+    // Call twice a second.
+    void update(TimePoint now);
 
     // Number of teams with figures of this instance.
     [[nodiscard]] std::size_t teams() const { return teams_.size(); }
@@ -126,6 +127,7 @@
     // Sums of peers_, as each placement pass asks for the standing of many teams.
     std::unordered_map<std::uint32_t, PeerSum> peerSums_;
     Figures sum_; // of all teams
+    double typicalLevel_ = 0; // median over teams_, as of the last update()
 };
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/admission/team_shares_test.cc
+++ b/chestnutvane/process/gateway/admission/team_shares_test.cc
@@ -89,8 +89,10 @@
     const TimePoint now = burst + seconds(4);
     EXPECT_NEAR(here.level(1, now), here.level(2, now), 0.2);
 
-    there.onShortage(now);
-    here.onShortage(now);
+    for (TeamShares *shares : {&here, &there}) {
+        shares->update(now);
+        shares->onShortage(now);
+    }
     const auto fromThere = there.report(now);
     ASSERT_EQ(fromThere.size(), 1U);
     EXPECT_EQ(fromThere[0].team, 1U);
@@ -116,7 +118,7 @@
     EXPECT_DOUBLE_EQ(shares.level(1, now), own);
     shares.applyReport(7, std::vector<TeamUse>{{1, 90000, 1000}}, now);
     const TimePoint later = now + TeamShares::reportTtl + milliseconds(1);
-    shares.expire(later);
+    shares.update(later);
     EXPECT_LE(shares.level(1, later), own);
 }
 
@@ -126,6 +128,7 @@
     play(shares, 1, 1, 1, begin, seconds(20));
     play(shares, 2, 1, 1, begin, seconds(20));
     play(shares, 2, 60, 60, begin + seconds(20), seconds(2));
+    shares.update(begin + seconds(22));
     EXPECT_TRUE(shares.report(begin + seconds(22)).empty());
     shares.onShortage(begin + seconds(22));
     EXPECT_EQ(shares.report(begin + seconds(22)).size(), 1U);
@@ -142,7 +145,7 @@
     shares.onShortage(begin);
     EXPECT_LE(shares.teams(), TeamShares::maxTeams + 1);
     EXPECT_EQ(shares.report(begin).size(), TeamShares::maxReported);
-    shares.expire(begin + std::chrono::hours(1));
+    shares.update(begin + std::chrono::hours(1));
     EXPECT_EQ(shares.teams(), 0U);
 }
 
