Order waiting requests and spread returns by fair shares

By default, and without teams, the order and the Retry-After time are computed by the same code as before. Of 40 callers that are refused at once, more than half get different times, by importance none. The key and importance of a request's team are stand-ins until the team table sets them.

--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -44,7 +44,7 @@
 // could still meet its aim.
 auto queueOrder(const PendingRequest &pending, TimePoint now)
 {
-    return std::tuple(pending.aimAt <= now, pending.route->importance, pending.call.arrival);
+    return std::tuple(pending.aimAt <= now, pending.importance, pending.call.arrival);
 }
 
 } // namespace
@@ -98,6 +98,7 @@
     const HttpRequestMessage &request = *call.request;
     pending->table = table_;
     pending->route = &route;
+    pending->importance = route.importance;
     pending->homeRegions = route.homeRegions;
     pending->homesTable = table_;
     pending->service = splits_.next(route);
@@ -120,6 +121,8 @@
     Queue &queue = queues_[pending->service];
     const TimePoint now = Clock::now();
     pending->plannedTarget = 0;
+    if (pending->triedTargets.empty())
+        countArrival(*pending, now);
     const auto position =
             std::find_if(queue.begin(), queue.end(), [&pending, now](const Pending &other) {
                 return queueOrder(*other, now) > queueOrder(*pending, now);
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -29,7 +29,9 @@
 
 #include "chestnutvane/connection/caller_connection.h"
 #include "chestnutvane/connection/target_exchange.h"
+#include "chestnutvane/process/gateway/admission/arrival_rates.h"
 #include "chestnutvane/process/gateway/admission/shutdown_admission.h"
+#include "chestnutvane/process/gateway/admission/team_shares.h"
 #include "chestnutvane/process/gateway/fleet/load_report.h"
 #include "chestnutvane/process/gateway/gateway_settings.h"
 #include "chestnutvane/process/gateway/limits/crash_watch.h"
@@ -60,6 +62,9 @@
     std::string service;
     std::string id;
     std::uint64_t object = 0; // key of the object; 0: no object affinity
+    std::uint64_t teamKey = 0; // 0: of no team
+    int importance =
+            5; // the team's where it is set, otherwise the route's; 0 is the most important
     TimePoint aimAt; // when the latency aim of the route passes
     TimePoint deadlineAt; // the caller's deadline or the route's time limit, whichever is first
     int runs = 0; // attempts that a target may have executed
@@ -87,6 +92,10 @@
     bool done = false;
 };
 
+// Time reserved before the aim for the way from this instance to the caller: twice the usual
+// transit time.
+inline constexpr Milliseconds callerTransitTime{8};
+
 // Targets of a later tier are candidates only if there is none of an earlier one.
 enum class TargetTier {
     Usable,
@@ -199,6 +208,22 @@
     void onCallerDisconnected(const Pending &pending);
     void onDeadline(const Pending &pending);
 
+    // Turns of waiting requests, and returns of refused callers (gateway_admission.cc).
+    //
+    // Puts the waiting requests of a service in the order of placement. Returns those to place in
+    // this pass; late ones that leave the free slots to others are not among them.
+    [[nodiscard]] Queue orderQueue(const std::string &service,
+                                   const std::vector<TargetSnapshot> &snapshots, TimePoint now);
+    [[nodiscard]] bool isHeld(const PendingRequest &pending, const WorkEstimate &work,
+                              const std::vector<TargetSnapshot> &snapshots, TimePoint now) const;
+    // Counts a request that arrived.
+    void countArrival(const PendingRequest &pending, TimePoint now);
+    // Returns the Retry-After time of a request that is refused for lack of room.
+    [[nodiscard]] Duration retryAfterForRoom(const PendingRequest &pending,
+                                             const WorkEstimate &work, TimePoint now);
+    // The number of serving instances in this region, this one included.
+    [[nodiscard]] std::size_t instancesInRegion(TimePoint now) const;
+
     // Placement (gateway_placing.cc).
     void schedulePass(const std::string &service, PassScope scope);
     // Runs a placement pass over the waiting requests of a service. With a long queue, a pass of
@@ -291,6 +316,9 @@
     bool isPassTimerSet_ = false;
     TimePoint earliestFullPass_; // lower limit for scheduleThrottledPasses()
     CrashWatch crashWatch_;
+    TeamShares teamShares_{createdAt_};
+    std::map<std::string, ArrivalRates> arrivalRates_; // by service
+    std::map<std::string, SlidingWindowCounter> refusals_; // for lack of room, by service
     std::map<std::string, RetryLimiter> retryLimiters_;
     std::unordered_map<std::uint64_t, SlidingWindowCounter> coldStartAttempts_; // by target hash
     std::map<std::string, WarmCapacityEstimator> warmCapacities_; // by service
--- /dev/null
+++ b/chestnutvane/process/gateway/gateway_admission_test.cc
@@ -0,0 +1,88 @@
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "chestnutvane/process/gateway/crowded_gateway.h"
+#include "chestnutvane/process/gateway/gateway.h"
+
+namespace chestnutvane {
+namespace {
+
+// Sends requests for a service without targets, and returns the Retry-After texts of the refusals.
+std::multiset<std::string> returnsOfRefused(AdmissionPolicy policy)
+{
+    GatewaySettings settings;
+    settings.instanceId = "i1";
+    settings.zone = "near";
+    settings.zoneRegions = {{"near", "here"}};
+    settings.admission = policy;
+    net::io_context io;
+    Metrics metrics;
+    Gateway gateway(io, settings, metrics);
+    gateway.setRoutes(CrowdedGateway::makeRoutes(0));
+    std::multiset<std::string> returns;
+    constexpr int requests = 40;
+    for (int i = 0; i < requests; ++i) {
+        Call call = CrowdedGateway::makeCall(settings, i, [] {});
+        auto request = std::make_shared<HttpRequestMessage>(*call.request);
+        request->set(settings.headers.requestId, "r" + std::to_string(i));
+        call.request = std::move(request);
+        call.answer = [&returns](const HttpResponseMessage &message) {
+            EXPECT_EQ(message.result(), http::status::service_unavailable);
+            returns.emplace(message[http::field::retry_after]);
+        };
+        gateway.handle(std::move(call));
+    }
+    EXPECT_EQ(returns.size(), static_cast<std::size_t>(requests));
+    return returns;
+}
+
+// Guards against callers that are refused together and return together.
+TEST(GatewayAdmissionTest, WithFairSharesReturnsAreSpread)
+{
+    const auto returns = returnsOfRefused(AdmissionPolicy::FairShares);
+    const std::set<std::string> different(returns.begin(), returns.end());
+    EXPECT_GT(different.size(), returns.size() / 2);
+    EXPECT_GT(*different.begin(), "0.00");
+}
+
+TEST(GatewayAdmissionTest, ByImportanceAllAreToldTheTimeOfARun)
+{
+    const auto returns = returnsOfRefused(AdmissionPolicy::ByImportance);
+    EXPECT_EQ(returns.count(*returns.begin()), returns.size());
+}
+
+TEST(GatewayAdmissionTest, TheSettingsNameThePolicy)
+{
+    const std::vector<std::string> required = {"--instance-id",
+                                               "i1",
+                                               "--zone",
+                                               "near",
+                                               "--zones",
+                                               "near=here",
+                                               "--caller-address",
+                                               "127.0.0.1:1",
+                                               "--readiness-address",
+                                               "127.0.0.1:2",
+                                               "--directory-address",
+                                               "127.0.0.1:3",
+                                               "--metrics-address",
+                                               "127.0.0.1:4",
+                                               "--report-address",
+                                               "127.0.0.1:5",
+                                               "--store-url",
+                                               "http://127.0.0.1:6"};
+    const auto parse = [&required](const std::string &policy) {
+        std::vector<std::string> arguments = required;
+        arguments.insert(arguments.end(), {"--admission", policy, "--target-queue", "27"});
+        return parseGatewaySettings(arguments, [](const std::string &) { return std::nullopt; });
+    };
+    const auto parsed = parse("fair-shares");
+    ASSERT_TRUE(std::holds_alternative<GatewaySettings>(parsed));
+    EXPECT_EQ(std::get<GatewaySettings>(parsed).admission, AdmissionPolicy::FairShares);
+    EXPECT_EQ(std::get<GatewaySettings>(parsed).targetQueue, 27);
+    EXPECT_TRUE(std::holds_alternative<SettingErrors>(parse("random")));
+}
+
+} // namespace
+} // namespace chestnutvane
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -394,7 +394,7 @@
     const auto work = runTimes_.estimate(route.name, pending->service, route.aim);
     answerUnserved(pending, reason,
                    pending->refusedWithFreeSlot ? immediateRetryAfter
-                                                : std::min<Duration>(work.mean, maxRetryAfter));
+                                                : retryAfterForRoom(*pending, work, now));
 }
 
 void Gateway::answerUnserved(const Pending &pending, std::string_view reason, Duration retryAfter)
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -12,9 +12,6 @@
 namespace chestnutvane {
 namespace {
 
-// Time reserved before the aim for the way from this instance to the caller: twice the usual
-// transit time.
-constexpr Milliseconds callerTransitTime{8};
 // Run time on a target in its cold start, relative to other targets, until it has been measured.
 constexpr double coldStartFactor = 2;
 // Assumed round trip times before the first connection to a zone.
@@ -73,14 +70,7 @@
         return;
     const TimePoint now = Clock::now();
     auto snapshots = snapshotTargets(service, now);
-    // Requests that can no longer meet their aim go last, so that they occupy no slot in which
-    // another request could still meet its aim.
-    std::stable_partition(queue.begin(), queue.end(), [this, now](const Pending &pending) {
-        const auto work =
-                runTimes_.estimate(pending->route->name, pending->service, pending->route->aim);
-        return pending->aimAt - now > work.warm + callerTransitTime;
-    });
-    const Queue waiting = queue;
+    const Queue waiting = orderQueue(service, snapshots, now);
     const bool isFullPass =
             scope == PassScope::All || isShortPass(waiting.size(), snapshots.size());
     if (isFullPass) {
@@ -139,9 +129,8 @@
         dequeue(pending);
         if (placement.action == PlacementAction::Refuse) {
             answerUnserved(pending, "no-room",
-                           pending->refusedWithFreeSlot
-                                   ? immediateRetryAfter
-                                   : std::min<Duration>(work.mean, maxRetryAfter));
+                           pending->refusedWithFreeSlot ? immediateRetryAfter
+                                                        : retryAfterForRoom(*pending, work, now));
             continue;
         }
         TargetSnapshot &chosen = snapshots[indices[placement.index]];
@@ -273,7 +262,7 @@
         return answerUnserved(pending, "targets-pause", *at - now);
     answerUnserved(pending, "no-target",
                    pending->refusedWithFreeSlot ? immediateRetryAfter
-                                                : std::min<Duration>(work.mean, maxRetryAfter));
+                                                : retryAfterForRoom(*pending, work, now));
 }
 
 // Only the home regions follow the newest revision. Everything else of the route is bound at the
--- a/chestnutvane/process/gateway/gateway_settings.cc
+++ b/chestnutvane/process/gateway/gateway_settings.cc
@@ -75,6 +75,13 @@
     return enumFromName(logLevelNames, text) ? "" : allEnumNames(logLevelNames);
 }
 
+std::string setAdmission(GatewaySettings &settings, const std::string &text)
+{
+    const auto policy = enumFromName(admissionPolicyNames, text);
+    settings.admission = policy.value_or(settings.admission);
+    return policy ? "" : allEnumNames(admissionPolicyNames);
+}
+
 std::string setStoreUrl(GatewaySettings &settings, const std::string &text)
 {
     constexpr std::string_view scheme = "http://";
@@ -137,6 +144,11 @@
              numberSetter(
                      1, maxCount,
                      [](S &s, double v) { s.assumedWarmCapacity = static_cast<std::size_t>(v); })},
+            {"admission", "by-importance", "how room is divided among requests where it is short",
+             setAdmission},
+            {"target-queue", "0", "requests that a target queues beyond its slots",
+             numberSetter(0, maxCount,
+                          [](S &s, double v) { s.targetQueue = static_cast<int>(v); })},
             {"log-level", "info", "lowest level that is logged", setLogLevel},
     };
 }
--- a/chestnutvane/process/gateway/gateway_settings.h
+++ b/chestnutvane/process/gateway/gateway_settings.h
@@ -16,6 +16,7 @@
 #include <variant>
 #include <vector>
 
+#include "chestnutvane/base/enum_names.h"
 #include "chestnutvane/base/time.h"
 #include "chestnutvane/connection/header_names.h"
 #include "chestnutvane/process/gateway/limits/send_limits.h"
@@ -23,6 +24,17 @@
 
 namespace chestnutvane {
 
+// How room is divided among requests where it is short.
+enum class AdmissionPolicy {
+    ByImportance, // in-time requests first, then by importance and arrival
+    FairShares, // late requests leave slots to others, and returns of refused callers are spread
+};
+
+inline constexpr EnumName<AdmissionPolicy> admissionPolicyNames[] = {
+        {AdmissionPolicy::ByImportance, "by-importance"},
+        {AdmissionPolicy::FairShares, "fair-shares"},
+};
+
 struct GatewaySettings
 {
     std::string instanceId;
@@ -42,6 +54,8 @@
     double coldOvershoot = 1.5;
     double coldSlack = 5;
     std::size_t assumedWarmCapacity = 36; // initial estimate of the objects that a target holds
+    AdmissionPolicy admission = AdmissionPolicy::ByImportance;
+    int targetQueue = 0; // requests that a target queues beyond its slots
     std::string logLevel = "info";
     HeaderNames headers;
 
