--- a/chestnutvane/process/gateway/gateway_admission.cc
+++ b/chestnutvane/process/gateway/gateway_admission.cc
@@ -13,8 +13,7 @@
 void Gateway::countArrival(const PendingRequest &pending, TimePoint now)
 {
     arrivalRates_[pending.service].onArrival(pending.importance, now);
-    if (pending.teamKey == 0)
-        return;
+    // Requests of no team are counted as well; they share like one team.
     const auto work = runTimes_.estimate(pending.route->name, pending.service, pending.route->aim);
     teamShares_.onAsked(pending.teamKey, work.mean, now);
 }
