--- a/chestnutvane/process/gateway/gateway_admission.cc
+++ b/chestnutvane/process/gateway/gateway_admission.cc
@@ -63,16 +63,26 @@
                      const std::vector<TargetSnapshot> &snapshots, TimePoint now) const
 {
     SlotOutlook outlook{.meanRun = work.mean, .reportInterval = fleet_.oldestReportAge(now)};
+    double freeElsewhere = 0;
+    const auto &homes = pending.homeRegions;
     for (const auto &[target, shared, peerQueueLength, tier] : snapshots) {
-        if (!shared.sameRegion || tier != TargetTier::Usable)
+        if (tier != TargetTier::Usable)
             continue;
-        outlook.slots += shared.slots;
-        outlook.busy += std::min<double>(shared.load, shared.slots);
+        const double busy = std::min<double>(shared.load, shared.slots);
+        if (shared.sameRegion) {
+            outlook.slots += shared.slots;
+            outlook.busy += busy;
+        } else if (homes.empty() || std::ranges::find(homes, target->region) != homes.end()) {
+            freeElsewhere += shared.slots - busy;
+        }
     }
     if (const auto rates = arrivalRates_.find(pending.service); rates != arrivalRates_.end())
         outlook.arrivalsPerSecond =
                 rates->second.perSecond(now) * static_cast<double>(instancesInRegion(now));
     const SlotTurn turn = turnWhenLate({work.mean, pending.deadlineAt - now}, outlook);
+    // With as much room in another region, the request takes nothing from others there.
+    if (freeElsewhere - 1 >= turn.reserved)
+        return false;
     // A hold ends with a pass, and without other events tick() causes the next one.
     constexpr Milliseconds longestPassInterval{500};
     return turn.decision == SlotDecision::Hold && turn.holdFor > longestPassInterval;
