--- a/chestnutvane/process/gateway/crowded_gateway.h
+++ b/chestnutvane/process/gateway/crowded_gateway.h
@@ -21,7 +21,9 @@
 class CrowdedGateway
 {
 public:
-    explicit CrowdedGateway(std::size_t targets) : gateway(io, settings_, metrics)
+    // `targetQueue` is the setting of that name.
+    explicit CrowdedGateway(std::size_t targets, int targetQueue = 0)
+        : settings_(makeSettings(targetQueue)), gateway(io, settings_, metrics)
     {
         std::vector<TargetEntry> entries(targets);
         for (std::size_t i = 0; i < targets; ++i) {
@@ -122,13 +124,17 @@
         gateway.fleet().merge(std::move(load), Clock::now());
     }
 
-    GatewaySettings settings_ = [] {
+    static GatewaySettings makeSettings(int targetQueue)
+    {
         GatewaySettings settings;
         settings.instanceId = "i1";
         settings.zone = "near";
         settings.zoneRegions = {{"near", "here"}, {"far", "there"}};
+        settings.targetQueue = targetQueue;
         return settings;
-    }();
+    }
+
+    GatewaySettings settings_;
     std::uint64_t sequence_ = 0;
 
 public:
--- a/chestnutvane/process/gateway/fleet/load_report.cc
+++ b/chestnutvane/process/gateway/fleet/load_report.cc
@@ -59,6 +59,26 @@
     return crashes;
 }
 
+Json encodeTeamUses(const std::vector<TeamUse> &uses)
+{
+    Json list = Json::array();
+    for (const auto &[team, usedMs, entitledMs] : uses) {
+        list.push_back(team);
+        list.push_back(usedMs);
+        list.push_back(entitledMs);
+    }
+    return list;
+}
+
+std::vector<TeamUse> decodeTeamUses(const Json &list)
+{
+    constexpr std::size_t fields = 3;
+    std::vector<TeamUse> uses;
+    for (std::size_t i = 0; i + fields <= list.size(); i += fields)
+        uses.push_back({list.at(i), list.at(i + 1), list.at(i + 2)});
+    return uses;
+}
+
 } // namespace
 
 std::string encodeReport(const LoadReport &report, IdentityPart part)
@@ -81,10 +101,13 @@
                              report.targetsFeed.age.count(), report.operatorFeed.fingerprint,
                              report.operatorFeed.age.count()});
     // Optional fields come last, as older instances ignore trailing fields that they do not know.
-    if (!report.feedChange.empty() || !report.crashCounts.empty())
+    const bool hasTeamUses = !report.teamUses.empty();
+    if (!report.feedChange.empty() || !report.crashCounts.empty() || hasTeamUses)
         list.push_back(Json::binary({report.feedChange.begin(), report.feedChange.end()}));
-    if (!report.crashCounts.empty())
+    if (!report.crashCounts.empty() || hasTeamUses)
         list.push_back(encodeCrashCounts(report.crashCounts));
+    if (hasTeamUses)
+        list.push_back(encodeTeamUses(report.teamUses));
     std::string text;
     Json::to_cbor(list, text);
     return text;
@@ -126,6 +149,8 @@
         }
         if (list.size() > changeAt + 1)
             report.crashCounts = decodeCrashCounts(list.at(changeAt + 1));
+        if (list.size() > changeAt + 2)
+            report.teamUses = decodeTeamUses(list.at(changeAt + 2));
         return report;
     } catch (const Json::exception &failure) {
         return ReportError{failure.what()};
--- a/chestnutvane/process/gateway/fleet/load_report.h
+++ b/chestnutvane/process/gateway/fleet/load_report.h
@@ -26,6 +26,7 @@
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/base/time.h"
 #include "chestnutvane/process/crash_suspects.h"
+#include "chestnutvane/process/gateway/admission/team_use.h"
 #include "chestnutvane/process/gateway/fleet/feed_sharing.h"
 
 namespace chestnutvane {
@@ -80,6 +81,7 @@
     std::vector<WarmObject> warmObjects; // since the last report to the receiver
     std::string feedChange; // encoded (feed_change.h); sent once, otherwise empty
     std::vector<CrashCount> crashCounts; // target crashes charged to requests
+    std::vector<TeamUse> teamUses; // of teams above their share; empty unless slots are short
 
     friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
--- a/chestnutvane/process/gateway/fleet/load_report_test.cc
+++ b/chestnutvane/process/gateway/fleet/load_report_test.cc
@@ -27,6 +27,7 @@
     result.warmObjects = {{1, 100}, {2, 200}};
     result.feedChange = std::string("\xff\x00\x01", 3);
     result.crashCounts = {{{1, 2}, "taipei", 77, 3, 1, Milliseconds(1500), 1}};
+    result.teamUses = {{4'000'000'000, 900, 300}, {7, 20, 30}};
     return result;
 }
 
@@ -49,6 +50,17 @@
     EXPECT_EQ(value(received), sent);
 }
 
+// Guards against uses of teams that are decoded as crash counts, or lost, in a report without them.
+TEST(LoadReportTest, AReportMayHoldUsesOfTeamsWithoutCrashesOrAChange)
+{
+    LoadReport sent = report("a", 9, {});
+    sent.feedChange.clear();
+    sent.crashCounts.clear();
+    const auto received = decodeReport(encodeReport(sent));
+    ASSERT_TRUE(isOk(received));
+    EXPECT_EQ(value(received), sent);
+}
+
 // Guards against crash counts that make a report too large for one datagram of an Ethernet frame.
 TEST(LoadReportTest, AReportWithAllItsCrashCountsFitsIntoADatagram)
 {
--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -281,9 +281,11 @@
         onFeedReport_(loadReport);
     const PeerIdentity sender = loadReport.sender;
     const auto warmObjects = loadReport.warmObjects;
+    const auto teamUses = loadReport.teamUses;
     gateway_.applyWarmObjects(warmObjects);
     gateway_.applyCrashCounts(loadReport.crashCounts);
     if (gateway_.fleet().merge(std::move(loadReport), now)) {
+        gateway_.applyTeamUses(sender.incarnation, teamUses);
         addPeer(sender);
         if (isNew) // it does not have this instance's identity yet
             receivers_[sender.id].outbox.identitySentAt = {};
--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -213,6 +213,7 @@
 
 void Gateway::fillReport(LoadReport &report) const
 {
+    report.teamUses = teamShares_.report(Clock::now());
     report.revision = table_ ? table_->revision() : 0;
     for (const auto &[service, queue] : queues_) {
         if (!queue.empty())
@@ -244,6 +245,7 @@
     pool_.expire(Clock::now());
     fleet_.expire(Clock::now());
     crashWatch_.expire(Clock::now());
+    updateTeamShares(Clock::now());
     metrics_.set("vane_gateway_pending_requests", {}, static_cast<double>(pendingCount_));
     scheduleFullPasses();
 }
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -161,6 +161,12 @@
         crashWatch_.merge(counts, Clock::now());
     }
 
+    // Applies the uses of teams of another instance's report.
+    void applyTeamUses(std::uint64_t incarnation, std::span<const TeamUse> uses)
+    {
+        teamShares_.applyReport(incarnation, uses, Clock::now());
+    }
+
     // Sets a function that is called when requests were charged with a crash, so that the other
     // instances hear of it at once.
     void setOnCrashCharged(std::function<void()> function)
@@ -216,6 +222,11 @@
                                    const std::vector<TargetSnapshot> &snapshots, TimePoint now);
     [[nodiscard]] bool isHeld(const PendingRequest &pending, const WorkEstimate &work,
                               const std::vector<TargetSnapshot> &snapshots, TimePoint now) const;
+    // Whether a request is sent to a target without a free slot, to be queued there.
+    [[nodiscard]] bool isQueuedAtTarget(const PendingRequest &pending, const Candidate &candidate,
+                                        const WorkEstimate &work, TimePoint now) const;
+    // Updates the shares of teams, and the metrics of those above their share.
+    void updateTeamShares(TimePoint now);
     // Counts a request that arrived.
     void countArrival(const PendingRequest &pending, TimePoint now);
     // Returns the Retry-After time of a request that is refused for lack of room.
--- a/chestnutvane/process/gateway/gateway_admission.cc
+++ b/chestnutvane/process/gateway/gateway_admission.cc
@@ -18,6 +18,47 @@
     teamShares_.onAsked(pending.teamKey, work.mean, now);
 }
 
+void Gateway::updateTeamShares(TimePoint now)
+{
+    teamShares_.update(now);
+    // Labelled by rank, so that their number does not grow with the teams.
+    const auto uses = teamShares_.report(now);
+    constexpr double millisecondsPerSecond = 1000;
+    for (std::size_t rank = 0; rank < TeamShares::maxReported; ++rank) {
+        const TeamUse use = rank < uses.size() ? uses[rank] : TeamUse{};
+        const MetricLabels labels{{"rank", std::to_string(rank)}};
+        metrics_.set("vane_gateway_team_used_seconds", labels, use.usedMs / millisecondsPerSecond);
+        metrics_.set("vane_gateway_team_entitled_seconds", labels,
+                     use.entitledMs / millisecondsPerSecond);
+    }
+}
+
+bool Gateway::isQueuedAtTarget(const PendingRequest &pending, const Candidate &candidate,
+                               const WorkEstimate &work, TimePoint now) const
+{
+    const auto rates = arrivalRates_.find(pending.service);
+    if (settings_.targetQueue == 0 || shutdown_ || !candidate.sendAllowed
+        || rates == arrivalRates_.end())
+        return false;
+    const Duration run = estimateResponseTime({.warm = candidate.warm,
+                                               .runTimeFactor = candidate.runTimeFactor,
+                                               .failureRate = candidate.failureRate,
+                                               .roundTrip = candidate.roundTrip},
+                                              work);
+    const bool isQueued = mayQueueAtTarget(
+            {.run = run,
+             .timeToAim = pending.aimAt - now - callerTransitTime,
+             .slots = candidate.slots,
+             .load = candidate.load,
+             .meanRun = work.mean,
+             .targetQueue = settings_.targetQueue,
+             .instances = instancesInRegion(now),
+             .lessImportantShare = rates->second.lessImportantShare(pending.importance, now)});
+    if (isQueued)
+        metrics_.increment("vane_gateway_queued_at_target_total", {{"service", pending.service}});
+    return isQueued;
+}
+
 Gateway::Queue Gateway::orderQueue(const std::string &service,
                                    const std::vector<TargetSnapshot> &snapshots, TimePoint now)
 {
@@ -85,7 +126,10 @@
         return false;
     // A hold ends with a pass, and without other events tick() causes the next one.
     constexpr Milliseconds longestPassInterval{500};
-    return turn.decision == SlotDecision::Hold && turn.holdFor > longestPassInterval;
+    const bool isHeld = turn.decision == SlotDecision::Hold && turn.holdFor > longestPassInterval;
+    if (isHeld)
+        metrics_.increment("vane_gateway_holds_total", {{"service", pending.service}});
+    return isHeld;
 }
 
 std::size_t Gateway::instancesInRegion(TimePoint now) const
--- a/chestnutvane/process/gateway/gateway_admission_test.cc
+++ b/chestnutvane/process/gateway/gateway_admission_test.cc
@@ -52,6 +52,37 @@
     EXPECT_EQ(returns.count(*returns.begin()), returns.size());
 }
 
+// Sends a more important request after some that wait, and returns how many are sent to targets.
+int sentToFullTargets(int targetQueue)
+{
+    CrowdedGateway crowded(4, targetQueue);
+    LearnedState learned;
+    learned.times.routes["views"] = {{0.1, 20}, {0.3, 20}};
+    learned.times.services[CrowdedGateway::service] = {0.2, 40};
+    crowded.gateway.restoreLearnedState(learned);
+    crowded.sendRequests(5);
+    const auto routes = crowded.gateway.routes();
+    Route important = routes->routes().front();
+    important.importance = 0;
+    crowded.gateway.setRoutes(value(RouteTable::create(
+            2, {important}, {{CrowdedGateway::service, *routes->service(CrowdedGateway::service)}},
+            {})));
+    crowded.sendRequests(1);
+    int inFlight = 0;
+    for (const auto &[hash, target] : crowded.gateway.registry().all())
+        inFlight += target->inFlight;
+    EXPECT_EQ(crowded.answered, 0);
+    return inFlight;
+}
+
+// Guards against important requests that wait at one instance for slots that others give to less
+// important ones.
+TEST(GatewayAdmissionTest, AnImportantRequestIsQueuedAtAFullTargetIfTargetsQueue)
+{
+    EXPECT_EQ(sentToFullTargets(20), 1);
+    EXPECT_EQ(sentToFullTargets(0), 0);
+}
+
 TEST(GatewayAdmissionTest, TheSettingsNameThePolicy)
 {
     const std::vector<std::string> required = {"--instance-id",
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -83,6 +83,7 @@
     pending->triedTargets.push_back(target->hash);
     target->receivedRequest = true;
     ++target->inFlight;
+    teamShares_.onSent(pending->teamKey, work.mean, now);
     if (target->coldStartUntil > now) {
         constexpr std::chrono::seconds rateWindow{1};
         coldStartAttempts_.try_emplace(target->hash, rateWindow).first->second.add(now);
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -119,7 +119,9 @@
             answerUnserved(pending, "shutdown", immediateRetryAfter);
             continue;
         }
-        if (placement.action == PlacementAction::Wait) {
+        const bool isSent = placement.action == PlacementAction::Send
+                || isQueuedAtTarget(*pending, candidates[placement.index], work, now);
+        if (!isSent && placement.action == PlacementAction::Wait) {
             TargetSnapshot &chosen = snapshots[indices[placement.index]];
             chosen.shared.queueLength += 1;
             pending->plannedTarget = chosen.target->hash;
@@ -127,7 +129,7 @@
             continue;
         }
         dequeue(pending);
-        if (placement.action == PlacementAction::Refuse) {
+        if (!isSent) {
             answerUnserved(pending, "no-room",
                            pending->refusedWithFreeSlot ? immediateRetryAfter
                                                         : retryAfterForRoom(*pending, work, now));
