Place requests by their likely cost and by the speed that targets state

Cause: a run's time was charged to its target in full, so that one costly request moved others away from the target that holds their object; and requests waited at instances for slots that were long free, as reports are up to 0.7 s old.

Change: run_cost learns the distribution of the cost of a route, target_speed combines the fourth figure of a target's load header (shared in reports, at most 16 a report) with the median of its last runs. For services whose targets state their speed (--work-model on|off|auto), placement weighs lateness by its chance, prices slot time higher, and sends ahead up to one request a slot. Other services are placed and learn as before.

--- a/chestnutvane/connection/target_exchange.cc
+++ b/chestnutvane/connection/target_exchange.cc
@@ -31,16 +31,24 @@
 
 std::optional<TargetLoad> parseLoad(std::string_view text)
 {
-    int figures[3] = {};
+    constexpr std::size_t requiredFigures = 3;
+    int figures[requiredFigures + 1] = {};
+    std::size_t count = 0;
     const char *at = text.data();
     const char *const end = text.data() + text.size();
     for (int &figure : figures) {
         const auto [next, failure] = std::from_chars(at, end, figure);
         if (failure != std::errc{})
-            return std::nullopt;
+            break;
+        ++count;
         at = next != end && *next == ',' ? next + 1 : next;
     }
-    return TargetLoad{figures[0], figures[1], figures[2]};
+    if (count < requiredFigures)
+        return std::nullopt;
+    TargetLoad load{figures[0], figures[1], figures[2], std::nullopt};
+    if (count > requiredFigures)
+        load.runTimePercent = figures[requiredFigures];
+    return load;
 }
 
 std::vector<std::string_view> headerValues(const HttpResponseMessage &message, http::field field)
--- a/chestnutvane/connection/target_exchange.h
+++ b/chestnutvane/connection/target_exchange.h
@@ -84,6 +84,8 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    // How long work takes at the target now, in percent of the usual; not all targets tell it.
+    std::optional<int> runTimePercent;
 };
 
 struct TargetAnswer
--- a/chestnutvane/connection/target_exchange_test.cc
+++ b/chestnutvane/connection/target_exchange_test.cc
@@ -88,6 +88,29 @@
     pool_.drop(server.address());
 }
 
+// Guards against a speed that is read from a target that does not state one, and against a load
+// that is lost because the speed cannot be read.
+TEST_F(TargetExchangeTest, ATargetMayStateItsSpeed)
+{
+    const auto loadOf = [this](const std::string &text) {
+        const RawServer server([&text](RawClient &connection, int) {
+            connection.readUntil("\r\n\r\n");
+            connection.send("HTTP/1.1 200 OK\r\nVane-Request-Id: r1\r\nAnswer-Seal: s\r\n"
+                            "Connection: close\r\nTarget-Load: "
+                            + text + "\r\nContent-Length: 4\r\n\r\nbody");
+            connection.waitForClose(1s);
+        });
+        return std::get<TargetAnswer>(exchange(server).outcome).load;
+    };
+    ASSERT_TRUE(loadOf("2,0,3"));
+    EXPECT_FALSE(loadOf("2,0,3")->runTimePercent);
+    EXPECT_EQ(loadOf("2,1,3,250")->runTimePercent, 250);
+    EXPECT_EQ(loadOf("2,1,3,250")->waiting, 1);
+    ASSERT_TRUE(loadOf("2,1,3,fast"));
+    EXPECT_FALSE(loadOf("2,1,3,fast")->runTimePercent);
+    EXPECT_FALSE(loadOf("2,1"));
+}
+
 // Guards against a cut answer that is passed on as a whole one.
 TEST_F(TargetExchangeTest, CutAnswersAreNoAnswers)
 {
--- a/chestnutvane/process/gateway/fleet/load_report.cc
+++ b/chestnutvane/process/gateway/fleet/load_report.cc
@@ -59,6 +59,28 @@
     return crashes;
 }
 
+Json encodeSpeeds(const std::vector<StatedSpeed> &speeds)
+{
+    Json list = Json::array();
+    for (const auto &[target, percent, age] : speeds) {
+        list.push_back(target);
+        list.push_back(percent);
+        list.push_back(age.count());
+    }
+    return list;
+}
+
+std::vector<StatedSpeed> decodeSpeeds(const Json &list)
+{
+    constexpr std::size_t fields = 3;
+    std::vector<StatedSpeed> speeds;
+    for (std::size_t i = 0; i + fields <= list.size() && speeds.size() < maxReportedSpeeds;
+         i += fields)
+        speeds.push_back({list.at(i), list.at(i + 1),
+                          Milliseconds(list.at(i + 2).get<Milliseconds::rep>())});
+    return speeds;
+}
+
 } // namespace
 
 std::string encodeReport(const LoadReport &report, IdentityPart part)
@@ -81,10 +103,14 @@
                              report.targetsFeed.age.count(), report.operatorFeed.fingerprint,
                              report.operatorFeed.age.count()});
     // Optional fields come last, as older instances ignore trailing fields that they do not know.
-    if (!report.feedChange.empty() || !report.crashCounts.empty())
+    const bool hasSpeeds = !report.statedSpeeds.empty();
+    const bool hasCrashCounts = !report.crashCounts.empty();
+    if (!report.feedChange.empty() || hasCrashCounts || hasSpeeds)
         list.push_back(Json::binary({report.feedChange.begin(), report.feedChange.end()}));
-    if (!report.crashCounts.empty())
+    if (hasCrashCounts || hasSpeeds)
         list.push_back(encodeCrashCounts(report.crashCounts));
+    if (hasSpeeds)
+        list.push_back(encodeSpeeds(report.statedSpeeds));
     std::string text;
     Json::to_cbor(list, text);
     return text;
@@ -126,6 +152,8 @@
         }
         if (list.size() > changeAt + 1)
             report.crashCounts = decodeCrashCounts(list.at(changeAt + 1));
+        if (list.size() > changeAt + 2)
+            report.statedSpeeds = decodeSpeeds(list.at(changeAt + 2));
         return report;
     } catch (const Json::exception &failure) {
         return ReportError{failure.what()};
--- a/chestnutvane/process/gateway/fleet/load_report.h
+++ b/chestnutvane/process/gateway/fleet/load_report.h
@@ -67,6 +67,17 @@
     friend bool operator==(const WarmObject &, const WarmObject &) = default;
 };
 
+// The speed that a target stated to an instance. Targets that work at their usual speed are left
+// out of reports.
+struct StatedSpeed
+{
+    std::uint64_t target = 0; // hash of its id
+    int percent = 0; // run time in percent of the usual
+    Milliseconds age{0}; // since the target stated it
+
+    friend bool operator==(const StatedSpeed &, const StatedSpeed &) = default;
+};
+
 struct LoadReport
 {
     PeerIdentity sender;
@@ -80,10 +91,14 @@
     std::vector<WarmObject> warmObjects; // since the last report to the receiver
     std::string feedChange; // encoded (feed_change.h); sent once, otherwise empty
     std::vector<CrashCount> crashCounts; // target crashes charged to requests
+    std::vector<StatedSpeed> statedSpeeds; // at most maxReportedSpeeds
 
     friend bool operator==(const LoadReport &, const LoadReport &) = default;
 };
 
+// Limit of the stated speeds in a report, so that it fits into a datagram.
+inline constexpr std::size_t maxReportedSpeeds = 16;
+
 struct ReportError
 {
     std::string detail;
--- a/chestnutvane/process/gateway/fleet/load_report_test.cc
+++ b/chestnutvane/process/gateway/fleet/load_report_test.cc
@@ -27,6 +27,7 @@
     result.warmObjects = {{1, 100}, {2, 200}};
     result.feedChange = std::string("\xff\x00\x01", 3);
     result.crashCounts = {{{1, 2}, "taipei", 77, 3, 1, Milliseconds(1500), 1}};
+    result.statedSpeeds = {{7, 250, Milliseconds(40)}, {0xffffffff, 100, Milliseconds(0)}};
     return result;
 }
 
@@ -49,6 +50,32 @@
     EXPECT_EQ(value(received), sent);
 }
 
+// Guards against stated speeds that are lost, or read as another field, where earlier optional
+// fields are empty.
+TEST(LoadReportTest, AReportMayHoldStatedSpeedsAlone)
+{
+    LoadReport sent = report("a", 9, {});
+    sent.feedChange.clear();
+    sent.crashCounts.clear();
+    const auto received = decodeReport(encodeReport(sent));
+    ASSERT_TRUE(isOk(received));
+    EXPECT_EQ(value(received), sent);
+}
+
+// Guards against a report that grows with the fleet.
+TEST(LoadReportTest, StatedSpeedsAreBounded)
+{
+    LoadReport sent = report("a", 9, {});
+    const std::size_t bare = encodeReport(sent).size();
+    sent.statedSpeeds.assign(maxReportedSpeeds, {0xffffffff, 250, Milliseconds(290)});
+    constexpr std::size_t bytesPerSpeed = 11;
+    EXPECT_LE(encodeReport(sent).size(), bare + maxReportedSpeeds * bytesPerSpeed);
+    sent.statedSpeeds.resize(1000, {1, 250, Milliseconds(290)});
+    const auto received = decodeReport(encodeReport(sent));
+    ASSERT_TRUE(isOk(received));
+    EXPECT_EQ(value(received).statedSpeeds.size(), maxReportedSpeeds);
+}
+
 // Guards against crash counts that make a report too large for one datagram of an Ethernet frame.
 TEST(LoadReportTest, AReportWithAllItsCrashCountsFitsIntoADatagram)
 {
--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -283,6 +283,7 @@
     const auto warmObjects = loadReport.warmObjects;
     gateway_.applyWarmObjects(warmObjects);
     gateway_.applyCrashCounts(loadReport.crashCounts);
+    gateway_.applyStatedSpeeds(loadReport.statedSpeeds);
     if (gateway_.fleet().merge(std::move(loadReport), now)) {
         addPeer(sender);
         if (isNew) // it does not have this instance's identity yet
--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -219,6 +219,7 @@
         if (target->inFlight > 0)
             report.inFlight[hash] = target->inFlight;
     }
+    fillStatedSpeeds(report);
 }
 
 void Gateway::beginShutdown(const ShutdownWindow &window)
@@ -236,6 +237,7 @@
 {
     for (const auto &[hash, target] : registry_.all()) {
         target->runTimeFactor += (1 - target->runTimeFactor) * decayPerTick;
+        target->speed.decay(decayPerTick);
         target->failureRate *= 1 - decayPerTick;
     }
     pool_.expire(Clock::now());
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -72,6 +72,7 @@
     std::shared_ptr<TargetExchange> exchange;
     std::shared_ptr<Target> target;
     bool sentWarm = false; // the target was considered warm for the object
+    bool sentAhead = false; // the target was considered to have no free slot
     // Depth of the object in the LRU list of the target when the request was sent, if it was
     // listed.
     std::optional<std::size_t> sentObjectDepth;
@@ -167,7 +168,11 @@
     // targets that have restarted since are left out.
     void restoreLearnedState(const LearnedState &state);
 
-    // Sets the load figures of a report: attempts in flight and waiting requests.
+    // Applies the speeds that targets stated to a peer.
+    void applyStatedSpeeds(std::span<const StatedSpeed> speeds);
+
+    // Sets the load figures of a report: attempts in flight, waiting requests and the speeds that
+    // targets stated.
     void fillReport(LoadReport &report) const;
 
     // Sets a function that is called when the load figures change. Its argument is the warm object
@@ -265,6 +270,17 @@
     void answerWithError(const Pending &pending, http::status status, std::string_view reason);
     void finish(const Pending &pending, HttpResponseMessage message);
     void notifyLoadChange(const WarmObject *warmObject);
+
+    // Cost of requests and speed of targets (gateway_work.cc).
+    [[nodiscard]] bool isPlacedByWork(const std::string &service) const;
+    // Applies the speed that a target stated with an answer.
+    void hearSpeed(Target &target, const TargetAnswer &answer, TimePoint now);
+    // Learns from a run of a service that is placed by work.
+    void learnWork(const PendingRequest &pending, const TargetAnswer &answer, Duration run,
+                   TimePoint now);
+    // Learns from a run of another service.
+    void learnRunTime(const PendingRequest &pending, Duration run, TimePoint now);
+    void fillStatedSpeeds(LoadReport &report) const;
     RetryLimiter &retryLimiterOf(const std::string &service);
     WarmCapacityEstimator &warmCapacityOf(const std::string &service);
 
@@ -305,6 +321,14 @@
     net::steady_timer shutdownTimer_; // the end of shutdownSendTime
     net::steady_timer pauseTimer_; // the earliest end of a pause that a request waits for
     std::size_t pendingCount_ = 0;
+    std::set<std::string> speedTellingServices_; // whose targets state their speed
+    std::set<std::uint64_t> oddTargets_; // hashes of targets that stated an implausible speed
+    struct SpeedToReport
+    {
+        int percent = 0;
+        TimePoint statedAt;
+    };
+    std::map<std::uint64_t, SpeedToReport> speedsToReport_; // by target hash
 };
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -29,12 +29,9 @@
 constexpr Milliseconds fullBackOff{50};
 // Back-off for an address of another target; the next list of targets arrives within it.
 constexpr Milliseconds misdirectedBackOff{1500};
-// Weights of one attempt in the moving averages of a target, and limits of a single sample.
+// Weights of one attempt in moving averages.
 constexpr double failureWeight = 0.15;
 constexpr double responseSizeWeight = 0.1;
-constexpr double runTimeFactorWeight = 0.2;
-constexpr double minFactorSample = 0.5;
-constexpr double maxFactorSample = 20;
 // A warm object is reported to the other instances again after capacity / warmReportRenewalDivisor
 // other objects, before they would consider it evicted.
 constexpr std::size_t warmReportRenewalDivisor = 2;
@@ -79,6 +76,7 @@
     const TimePoint now = Clock::now();
     pending->target = target;
     pending->sentWarm = candidate.warm;
+    pending->sentAhead = candidate.load >= candidate.slots;
     pending->sentEstimate = work;
     pending->triedTargets.push_back(target->hash);
     target->receivedRequest = true;
@@ -174,6 +172,7 @@
     const TimePoint now = Clock::now();
     Target &target = *pending->target;
     applyTargetWord(*pending, answer, now);
+    hearSpeed(target, answer, now);
     ++pending->arrivals;
     constexpr unsigned firstFailureStatus = 500;
     const unsigned status = answer.message.result_int();
@@ -202,20 +201,10 @@
         pending->failureResponse = std::move(answer.message);
         return retryOrAnswer(pending, "target-failed");
     }
-    const Seconds expected =
-            pending->sentWarm ? pending->sentEstimate.warm : pending->sentEstimate.cold;
-    const bool inColdStart = target.coldStartUntil > now;
-    if (!inColdStart && expected.count() > 0) {
-        const double ratio = std::clamp(Seconds(run) / expected, minFactorSample, maxFactorSample);
-        updateAverage(target.runTimeFactor, ratio, runTimeFactorWeight);
-        constexpr double maxLearningFactor = 1.5; // slower targets would distort the estimate
-        if (target.runTimeFactor < maxLearningFactor) {
-            const bool fast = RunTimeEstimator::isWarmRun(pending->sentEstimate, run);
-            runTimes_.learn(pending->route->name, pending->service, fast, run);
-            if (pending->sentObjectDepth)
-                warmCapacityOf(pending->service).learn(*pending->sentObjectDepth, fast);
-        }
-    }
+    if (isPlacedByWork(pending->service))
+        learnWork(*pending, answer, run, now);
+    else
+        learnRunTime(*pending, run, now);
     const auto bodyBytes = static_cast<double>(answer.message.body().size());
     updateAverage(responseSizes_.try_emplace(pending->route->name, bodyBytes).first->second,
                   bodyBytes, responseSizeWeight);
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -23,6 +23,10 @@
 // Weight of the affinity rank among targets that hold the object, relative to other targets.
 constexpr double warmRankWeight = 0.1;
 
+// Requests that may wait at a target for each of its slots, for services that are placed by work. A
+// slot is free again sooner than a report can tell, so that waiting here would leave slots unused.
+constexpr double sendAheadPerSlot = 1;
+
 // Requests at the head of a long queue that every pass covers.
 constexpr std::size_t queueHeadSize = 8;
 
@@ -73,6 +77,7 @@
         return;
     const TimePoint now = Clock::now();
     auto snapshots = snapshotTargets(service, now);
+    const bool placedByWork = isPlacedByWork(service);
     // Requests that can no longer meet their aim go last, so that they occupy no slot in which
     // another request could still meet its aim.
     std::stable_partition(queue.begin(), queue.end(), [this, now](const Pending &pending) {
@@ -117,7 +122,9 @@
         work.bodyKilobytes = bytes / bytesPerKilobyte;
         const PlacementLimits limits{pending->aimAt - now - callerTransitTime,
                                      pending->deadlineAt - now};
-        const Placement placement = place(candidates, work, limits, placementSettings_);
+        const Placement placement =
+                place(candidates, work, limits,
+                      placedByWork ? workPlacementSettings() : placementSettings_);
         pending->expectedResponseTime = placement.expectedResponseTime;
         pending->candidateCount = candidates.size();
         pending->queueSize = waiting.size();
@@ -163,6 +170,7 @@
     const double peerQueueLength =
             fleet_.queuedFor(hash64(service), region_, settings_.zoneRegions, now)
             / static_cast<double>(std::max<std::ptrdiff_t>(inRegion, 1));
+    const bool placedByWork = isPlacedByWork(service);
     std::vector<TargetSnapshot> snapshots;
     snapshots.reserve(targets.size());
     for (const auto &target : targets) {
@@ -184,7 +192,10 @@
         shared.needsFirstRequest = shouldSendFirstRequest(*target, now);
         shared.slots = target->entry.slots;
         shared.load = target->inFlight + fleet_.inFlightAt(target->hash, now);
-        shared.runTimeFactor = target->runTimeFactor * (inColdStart ? coldStartFactor : 1);
+        const double factor = placedByWork ? target->speed.factorAt(now) : target->runTimeFactor;
+        shared.runTimeFactor = factor * (inColdStart ? coldStartFactor : 1);
+        if (placedByWork)
+            shared.sendAhead = sendAheadPerSlot * shared.slots;
         shared.failureRate = target->failureRate;
         shared.roundTrip = roundTrip(*target);
         shared.sendAllowed = isSendAllowed(service, *target, now);
--- a/chestnutvane/process/gateway/gateway_settings.cc
+++ b/chestnutvane/process/gateway/gateway_settings.cc
@@ -75,6 +75,13 @@
     return enumFromName(logLevelNames, text) ? "" : allEnumNames(logLevelNames);
 }
 
+std::string setWorkModel(GatewaySettings &settings, const std::string &text)
+{
+    const auto mode = enumFromName(workModelModeNames, text);
+    settings.workModel = mode.value_or(settings.workModel);
+    return mode ? "" : allEnumNames(workModelModeNames);
+}
+
 std::string setStoreUrl(GatewaySettings &settings, const std::string &text)
 {
     constexpr std::string_view scheme = "http://";
@@ -137,6 +144,10 @@
              numberSetter(
                      1, maxCount,
                      [](S &s, double v) { s.assumedWarmCapacity = static_cast<std::size_t>(v); })},
+            {"work-model", "auto",
+             "placement by the cost of requests and the speed of targets: on, off, or auto for "
+             "services whose targets state their speed",
+             setWorkModel},
             {"log-level", "info", "lowest level that is logged", setLogLevel},
     };
 }
--- a/chestnutvane/process/gateway/gateway_settings.h
+++ b/chestnutvane/process/gateway/gateway_settings.h
@@ -16,6 +16,7 @@
 #include <variant>
 #include <vector>
 
+#include "chestnutvane/base/enum_names.h"
 #include "chestnutvane/base/time.h"
 #include "chestnutvane/connection/header_names.h"
 #include "chestnutvane/process/gateway/limits/send_limits.h"
@@ -23,6 +24,20 @@
 
 namespace chestnutvane {
 
+// For which services requests are placed by what they are likely to cost and by the speed of each
+// target at the moment.
+enum class WorkModelMode {
+    Auto, // those whose targets state their speed
+    On, // all
+    Off,
+};
+
+inline constexpr EnumName<WorkModelMode> workModelModeNames[] = {
+        {WorkModelMode::Auto, "auto"},
+        {WorkModelMode::On, "on"},
+        {WorkModelMode::Off, "off"},
+};
+
 struct GatewaySettings
 {
     std::string instanceId;
@@ -42,6 +57,7 @@
     double coldOvershoot = 1.5;
     double coldSlack = 5;
     std::size_t assumedWarmCapacity = 36; // initial estimate of the objects that a target holds
+    WorkModelMode workModel = WorkModelMode::Auto;
     std::string logLevel = "info";
     HeaderNames headers;
 
--- a/chestnutvane/process/gateway/target_registry.cc
+++ b/chestnutvane/process/gateway/target_registry.cc
@@ -46,6 +46,7 @@
     target.consecutiveFailures = 0;
     target.failureRate = 0;
     target.runTimeFactor = 1;
+    target.speed = TargetSpeed{};
     target.coldStartUntil = {};
     target.receivedRequest = false;
     target.superseded = false;
--- a/chestnutvane/process/gateway/target_registry.h
+++ b/chestnutvane/process/gateway/target_registry.h
@@ -21,6 +21,7 @@
 
 #include "chestnutvane/base/enum_names.h"
 #include "chestnutvane/base/time.h"
+#include "chestnutvane/process/gateway/work/target_speed.h"
 
 namespace chestnutvane {
 
@@ -103,6 +104,7 @@
     std::optional<TimePoint> leavingSince; // when the target first said that it shuts down
     double failureRate = 0; // moving average of failed attempts, 0 to 1
     double runTimeFactor = 1; // moving average of measured run time divided by expected run time
+    TargetSpeed speed; // replaces runTimeFactor for services that are placed by work
 };
 
 // How replaceAll() treats targets that are missing from the new list.
--- a/chestnutvane/process/gateway/work/placement.cc
+++ b/chestnutvane/process/gateway/work/placement.cc
@@ -28,6 +28,15 @@
     return Seconds(candidate.warm ? work.warm : work.cold) * candidate.runTimeFactor;
 }
 
+// Expected wait at the candidate for a slot.
+Seconds queueTime(const Candidate &candidate, const WorkEstimate &work)
+{
+    if (hasFreeSlot(candidate))
+        return Seconds{0};
+    const double queuePosition = candidate.load + candidate.queueLength - candidate.slots + 1;
+    return Seconds(work.mean) * candidate.runTimeFactor * queuePosition / candidate.slots;
+}
+
 // Returns the price of slot time for each region of the candidates, in seconds of response time per
 // second of run time.
 std::vector<double> slotTimePrices(std::span<const Candidate> candidates,
@@ -84,7 +93,10 @@
     if (!candidate.sameRegion)
         score += Seconds(settings.crossRegionCost).count()
                 + Seconds(settings.crossRegionCostPerKilobyte).count() * work.bodyKilobytes;
-    if (expectedResponseTime > limits.timeToAim)
+    if (work.costs)
+        score += Seconds(settings.latenessPenalty).count()
+                * chanceOfLateness(candidate, work, limits);
+    else if (expectedResponseTime > limits.timeToAim)
         score += Seconds(settings.latenessPenalty).count();
     if (candidate.needsFirstRequest && candidate.sameRegion && canServe)
         score -= Seconds(work.cold).count() * candidate.runTimeFactor
@@ -113,13 +125,20 @@
 
 Duration estimateResponseTime(const Candidate &candidate, const WorkEstimate &work)
 {
+    return toDuration(queueTime(candidate, work) + runTime(candidate, work)) + candidate.roundTrip;
+}
+
+double chanceOfLateness(const Candidate &candidate, const WorkEstimate &work,
+                        const PlacementLimits &limits)
+{
+    const Seconds timeLeft =
+            Seconds(limits.timeToAim - candidate.roundTrip) - queueTime(candidate, work);
     const Seconds run = runTime(candidate, work);
-    Seconds queueTime{0};
-    if (!hasFreeSlot(candidate)) {
-        const double queuePosition = candidate.load + candidate.queueLength - candidate.slots + 1;
-        queueTime = Seconds(work.mean) * candidate.runTimeFactor * queuePosition / candidate.slots;
-    }
-    return toDuration(queueTime + run) + candidate.roundTrip;
+    if (timeLeft <= Seconds{0} || run <= Seconds{0})
+        return timeLeft <= Seconds{0} ? 1 : 0;
+    if (!work.costs)
+        return run > timeLeft ? 1 : 0;
+    return work.costs->shareAbove(timeLeft / run);
 }
 
 Placement place(std::span<const Candidate> candidates, const WorkEstimate &work,
@@ -133,7 +152,9 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const Candidate &candidate = candidates[i];
         const Duration expectedResponseTime = estimateResponseTime(candidate, work);
-        const bool canSend = hasFreeSlot(candidate) && candidate.sendAllowed;
+        const bool isRoomThere =
+                candidate.load + candidate.queueLength < candidate.slots + candidate.sendAhead;
+        const bool canSend = isRoomThere && candidate.sendAllowed;
         const bool inTime = !work.measured || expectedResponseTime <= latestResponseTime;
         const double candidateScore =
                 score(candidate, work, limits, settings, slotPrices[candidate.region],
--- a/chestnutvane/process/gateway/work/placement.h
+++ b/chestnutvane/process/gateway/work/placement.h
@@ -21,6 +21,7 @@
 
 #include "chestnutvane/base/enum_names.h"
 #include "chestnutvane/base/time.h"
+#include "chestnutvane/process/gateway/work/run_cost.h"
 
 namespace chestnutvane {
 
@@ -38,6 +39,7 @@
     Duration roundTrip{0};
     // Hash rank of the target for the object, 0 to 1; the lowest is preferred.
     double affinityRank = 0;
+    double sendAhead = 0; // requests that may be sent while no slot is free
     bool needsFirstRequest = false; // this instance is to send the new target its first request
     bool sendAllowed = true; // false: back-off or the cold-start rate limit forbids it now
 };
@@ -50,6 +52,8 @@
     Duration mean{0}; // mean over the requests that occupy the slots
     double bodyKilobytes = 0; // size of the request body and, as far as known, of the response's
     bool measured = true; // false: assumed, because no request of the route has been answered yet
+    // Distribution of the cost; null: every request takes the expected time.
+    const RunCostDistribution *costs = nullptr;
 };
 
 struct PlacementLimits
@@ -84,10 +88,21 @@
     // less for those with more room, down to none at idleThreshold: requests leave a full region
     // for an idle one, but cold runs do not spread an overload over regions that are nearly full.
     double idleThreshold = 0.4;
-    // Added to the score if the response is expected after the latency aim.
+    // Added to the score if the response is expected after the latency aim. With a distribution of
+    // the cost, it is weighted by the chance that the response comes after the aim.
     Duration latenessPenalty = std::chrono::milliseconds(200);
 };
 
+// Settings for services that are placed by work. A slot is worth more there: requests are sent
+// ahead to busy targets, and a cold run of several times the usual length delays all of them.
+constexpr PlacementSettings workPlacementSettings()
+{
+    PlacementSettings settings;
+    settings.maxSlotTimePrice = 6;
+    settings.scarcityThreshold = 0.5;
+    return settings;
+}
+
 enum class PlacementAction {
     Send,
     Wait,
@@ -118,6 +133,10 @@
 // Returns the expected time until the response if the request were assigned to the candidate now.
 Duration estimateResponseTime(const Candidate &candidate, const WorkEstimate &work);
 
+// Returns the chance that the response comes after the latency aim.
+double chanceOfLateness(const Candidate &candidate, const WorkEstimate &work,
+                        const PlacementLimits &limits);
+
 // Chooses among the candidates; refuses the request if there is none. A target of the same region
 // that needs its first request gets the next request that it can answer before the deadline, so
 // that new targets come into use. An assumed run time never refuses a request for which a slot is
--- a/chestnutvane/process/gateway/work/work_times.cc
+++ b/chestnutvane/process/gateway/work/work_times.cc
@@ -54,6 +54,31 @@
     times_.services[service].add(seconds);
 }
 
+std::optional<bool> RunTimeEstimator::classifyRun(const WorkEstimate &work, Duration cost)
+{
+    constexpr double maxColdShare = 1.5;
+    if (Seconds(cost) > Seconds(work.cold) * maxColdShare)
+        return std::nullopt;
+    return isWarmRun(work, cost);
+}
+
+void RunTimeEstimator::learnCost(const std::string &route, const std::string &service, bool warm,
+                                 Duration cost)
+{
+    const double seconds = Seconds(cost).count();
+    auto &times = times_.routes[route];
+    RunTimeAverage &usual = warm ? times.warm : times.cold;
+    constexpr double maxUsualShare = 2;
+    usual.add(usual.runs > 0 ? std::min(seconds, usual.seconds * maxUsualShare) : seconds);
+    times_.services[service].add(seconds);
+    constexpr std::size_t maxRoutes = 256; // of about 1 kB each
+    const auto found = costs_.find(route);
+    if (found == costs_.end() && costs_.size() >= maxRoutes)
+        return;
+    if (usual.seconds > 0)
+        costs_[route].learn(seconds / usual.seconds);
+}
+
 void RunTimeEstimator::restore(const LearnedRunTimes &times)
 {
     times_.routes.insert(times.routes.begin(), times.routes.end());
@@ -83,6 +108,8 @@
     };
     WorkEstimate work{duration(warm), duration(cold), duration(mean)};
     work.measured = measured;
+    if (const auto found = costs_.find(route); found != costs_.end())
+        work.costs = &found->second;
     return work;
 }
 
--- a/chestnutvane/process/gateway/work/work_times.h
+++ b/chestnutvane/process/gateway/work/work_times.h
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "chestnutvane/base/time.h"
@@ -87,9 +88,17 @@
     // Records a run time, as a warm run (the target held the object) or as a cold one.
     void learn(const std::string &route, const std::string &service, bool warm, Duration run);
 
+    // Records the cost of a run: its run time at a target of normal speed. A costly request counts
+    // in full for the mean and the distribution, and with a bound for the usual run time.
+    void learnCost(const std::string &route, const std::string &service, bool warm, Duration cost);
+
     // Returns whether a run was a warm one, judged by its run time only.
     [[nodiscard]] static bool isWarmRun(const WorkEstimate &work, Duration run);
 
+    // Like isWarmRun(); nothing if the run was so long that it tells only that the request was
+    // costly.
+    [[nodiscard]] static std::optional<bool> classifyRun(const WorkEstimate &work, Duration cost);
+
     // Returns the estimate for a route. Before the first run it is derived from the route's latency
     // aim.
     [[nodiscard]] WorkEstimate estimate(const std::string &route, const std::string &service,
@@ -102,6 +111,7 @@
 
 private:
     LearnedRunTimes times_;
+    std::map<std::string, RunCostDistribution> costs_; // by route
 };
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/work/work_times_test.cc
+++ b/chestnutvane/process/gateway/work/work_times_test.cc
@@ -30,6 +30,37 @@
     EXPECT_NEAR(std::chrono::duration<double>(work.cold).count(), 0.360, 0.01);
 }
 
+// Guards against costly requests that lengthen the usual run time, or that count as cold runs.
+TEST(RunTimeEstimatorTest, CostlyRequestsLeaveTheUsualRunTimeAsItIs)
+{
+    RunTimeEstimator times;
+    for (int i = 0; i < 400; ++i) {
+        const bool cold = i % 10 == 0;
+        const Duration usual = cold ? 550ms : 165ms;
+        const Duration cost = i % 33 == 5 ? usual * 7 : usual;
+        const auto warm = RunTimeEstimator::classifyRun(times.estimate("r", "s", 600ms), cost);
+        times.learnCost("r", "s", warm.value_or(!cold), cost);
+    }
+    const WorkEstimate work = times.estimate("r", "s", 600ms);
+    EXPECT_NEAR(std::chrono::duration<double>(work.warm).count(), 0.165, 0.03);
+    EXPECT_NEAR(std::chrono::duration<double>(work.cold).count(), 0.550, 0.06);
+    EXPECT_GT(work.mean, work.warm);
+    ASSERT_NE(work.costs, nullptr);
+    EXPECT_NEAR(work.costs->shareAbove(3), 0.03, 0.015);
+    EXPECT_FALSE(RunTimeEstimator::classifyRun(work, 1200ms));
+    EXPECT_EQ(RunTimeEstimator::classifyRun(work, 200ms), true);
+    EXPECT_EQ(RunTimeEstimator::classifyRun(work, 500ms), false);
+}
+
+// Guards against a service that is placed by a distribution although its targets do not state their
+// speed.
+TEST(RunTimeEstimatorTest, RunTimesAloneGiveNoDistribution)
+{
+    RunTimeEstimator times;
+    times.learn("r", "s", true, 165ms);
+    EXPECT_EQ(times.estimate("r", "s", 600ms).costs, nullptr);
+}
+
 // Simulates a target that holds a number of objects, under requests about more objects than that.
 // Returns the estimated capacity.
 std::size_t learnCapacity(std::size_t actualCapacity, std::size_t initialCapacity)
