Test placement by work at the gateway, and describe it

Cause: the modules had tests, their wiring had none, and nothing said which services are placed as before.

--- a/chestnutvane/process/gateway/crowded_gateway.h
+++ b/chestnutvane/process/gateway/crowded_gateway.h
@@ -21,8 +21,10 @@
 class CrowdedGateway
 {
 public:
-    explicit CrowdedGateway(std::size_t targets) : gateway(io, settings_, metrics)
+    explicit CrowdedGateway(std::size_t targets, WorkModelMode workModel = WorkModelMode::Auto)
+        : gateway(io, settings_, metrics)
     {
+        settings_.workModel = workModel;
         std::vector<TargetEntry> entries(targets);
         for (std::size_t i = 0; i < targets; ++i) {
             entries[i].id = "t" + std::to_string(i);
--- a/chestnutvane/process/gateway/work/placement_test.cc
+++ b/chestnutvane/process/gateway/work/placement_test.cc
@@ -55,6 +55,39 @@
     EXPECT_EQ(placement.index, 0U);
 }
 
+// Guards against slots that stay unused because a report has not told yet that they are free, and
+// against a queue at a target that grows without bound.
+TEST(PlacementTest, RequestsAreSentAheadUpToTheLimitOfTheCandidate)
+{
+    std::vector<Candidate> candidates{candidate(true, 3)};
+    EXPECT_EQ(place(candidates, work, limits, {}).action, PlacementAction::Wait);
+    candidates[0].sendAhead = 2;
+    EXPECT_EQ(place(candidates, work, limits, {}).action, PlacementAction::Send);
+    candidates[0].load = 5;
+    EXPECT_EQ(place(candidates, work, limits, {}).action, PlacementAction::Wait);
+}
+
+// Guards against a target that meets the aim on average only. The other is farther away, and not
+// slow at the moment.
+TEST(PlacementTest, TheChanceToMeetTheAimDecides)
+{
+    RunCostDistribution costs;
+    for (int i = 0; i < 2000; ++i)
+        costs.learn(i % 4 == 0 ? 2.2 : 0.9);
+    WorkEstimate estimate = work;
+    estimate.costs = &costs;
+    std::vector<Candidate> candidates{candidate(true, 0), candidate(true, 0)};
+    candidates[0].runTimeFactor = 2; // 200 ms, and 440 ms for one request in four
+    candidates[1].roundTrip = 110ms; // 210 ms, and 330 ms
+    candidates[1].affinityRank = 0.2;
+    EXPECT_NEAR(chanceOfLateness(candidates[0], estimate, limits), 0.25, 0.02);
+    EXPECT_NEAR(chanceOfLateness(candidates[1], estimate, limits), 0, 0.02);
+    EXPECT_DOUBLE_EQ(chanceOfLateness(candidates[0], estimate, {-5ms, 1000ms}), 1);
+    EXPECT_DOUBLE_EQ(chanceOfLateness(candidates[0], work, limits), 0);
+    EXPECT_EQ(place(candidates, work, limits, {}).index, 0U);
+    EXPECT_EQ(place(candidates, estimate, limits, {}).index, 1U);
+}
+
 // Guards against a hot object that stays on one busy target of its home region although the others
 // are idle, when the instance is in another region.
 TEST(PlacementTest, IdleTargetsOfAnotherRegionAreNotScarce)
