--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -322,7 +322,6 @@
     net::steady_timer pauseTimer_; // the earliest end of a pause that a request waits for
     std::size_t pendingCount_ = 0;
     std::set<std::string> speedTellingServices_; // whose targets state their speed
-    std::set<std::uint64_t> oddTargets_; // hashes of targets that stated an implausible speed
     struct SpeedToReport
     {
         int percent = 0;
--- a/chestnutvane/process/gateway/gateway_work.cc
+++ b/chestnutvane/process/gateway/gateway_work.cc
@@ -1,6 +1,7 @@
 // What the gateway learns about the cost of requests and the speed of targets.
 
 #include <algorithm>
+#include <utility>
 
 #include "chestnutvane/process/gateway/gateway.h"
 #include "chestnutvane/process/log.h"
@@ -65,7 +66,7 @@
     const int percent = *answer.load->runTimePercent;
     const auto factor = speedFactor(percent);
     if (!factor) {
-        if (oddTargets_.insert(target.hash).second)
+        if (!std::exchange(target.isOddSpeedLogged, true))
             logEvent(Event::TargetSpeedOdd, {{"target", target.entry.id}, {"percent", percent}});
         return;
     }
--- a/chestnutvane/process/gateway/target_registry.h
+++ b/chestnutvane/process/gateway/target_registry.h
@@ -105,6 +105,7 @@
     double failureRate = 0; // moving average of failed attempts, 0 to 1
     double runTimeFactor = 1; // moving average of measured run time divided by expected run time
     TargetSpeed speed; // replaces runTimeFactor for services that are placed by work
+    bool isOddSpeedLogged = false; // it stated a speed that is not plausible
 };
 
 // How replaceAll() treats targets that are missing from the new list.
--- a/chestnutvane/process/gateway/work/work_placement_test.cc
+++ b/chestnutvane/process/gateway/work/work_placement_test.cc
@@ -66,6 +66,19 @@
     expectBest(runAll("both", large, 2));
 }
 
+// Guards against slots that stay unused, and others that are overbooked, where a large fleet
+// reports rarely.
+TEST(WorkPlacementTest, ReportsThatAreOlderThanMostRuns)
+{
+    expectBest(runAll("both, reports of 30 to 730 ms age",
+                      {.targets = 240,
+                       .instances = 103,
+                       .costlyShare = costlyShare,
+                       .slowShare = slowShare,
+                       .reportPeriodMs = 700},
+                      2));
+}
+
 TEST(WorkPlacementTest, EqualRequestsAndTargets)
 {
     const Outcomes outcomes = runAll("equal", {}, 8);
