Leave out a distribution that was learned at another service of a split

Cause: a route that is split over two services, one of them placed by work, has one distribution; the other service was scored by it. Change: runPass() drops it for services that are not placed by work.

--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -120,6 +120,8 @@
         const double bytes = static_cast<double>(pending->call.request->body().size())
                 + (responseSize == responseSizes_.end() ? 0 : responseSize->second);
         work.bodyKilobytes = bytes / bytesPerKilobyte;
+        if (!placedByWork)
+            work.costs = nullptr; // learned at another service of the route's split
         const PlacementLimits limits{pending->aimAt - now - callerTransitTime,
                                      pending->deadlineAt - now};
         const Placement placement =
