Tests of answers that are none, which fail

A target may reset the connection behind a part of its answer while the request is still being written, or answer with a status that is none.

An answer with neither length nor chunks that is reset before, in the middle of or behind its part is a 200 for the caller of a 6 MB upload, and for a repeatable request with such a body, which isn't repeated; statuses 000, 099 and 600 reach callers. Answers with a length or chunks are judged right.

--- a/chestnutvane/connection/target_exchange_test.cc
+++ b/chestnutvane/connection/target_exchange_test.cc
@@ -171,6 +171,52 @@
     EXPECT_FALSE(exchange(server).reused);
 }
 
+// Guards against a part of an answer that is taken for the whole one because the write of the
+// request, and not the read, was told of the reset.
+TEST_F(TargetExchangeTest, AnUnframedAnswerThatIsResetDuringTheWriteIsCut)
+{
+    const std::string body(6U << 20U, 'x'); // above what the sockets' buffers hold
+    const std::string head = "HTTP/1.1 200 OK\r\nVane-Request-Id: r1\r\nAnswer-Seal: s\r\n\r\n";
+    for (const std::string &part : {std::string(), std::string("body")}) {
+        for (int i = 0; i < 10; ++i) {
+            const RawServer server([&head, &part](RawClient &connection, int) {
+                connection.readUntil("\r\n\r\n");
+                connection.send(head + part);
+                connection.reset();
+            });
+            const ExchangeResult result = exchange(server, body);
+            const auto *failed = std::get_if<ExchangeError>(&result.outcome);
+            ASSERT_NE(failed, nullptr) << "a part was taken";
+            EXPECT_EQ(failed->failure, ExchangeFailure::ConnectionLost);
+            EXPECT_TRUE(failed->mayHaveRun);
+        }
+    }
+    const RawServer server([&head, &body](RawClient &connection, int) {
+        connection.readUntil("\r\n\r\n");
+        connection.send(head + "body");
+        connection.closeSending();
+        connection.read(body.size());
+        connection.waitForClose();
+    });
+    const ExchangeResult result = exchange(server, body);
+    ASSERT_TRUE(std::holds_alternative<TargetAnswer>(result.outcome));
+    EXPECT_EQ(std::get<TargetAnswer>(result.outcome).message.body(), "body");
+}
+
+// Guards against answers that callers get with a status that is none.
+TEST_F(TargetExchangeTest, AnAnswerWithoutAFinalStatusIsGarbled)
+{
+    for (const char *status : {"000", "099", "101", "600", "999"}) {
+        EXPECT_EQ(failureOf("HTTP/1.1 " + std::string(status)
+                            + " Odd\r\nVane-Request-Id: r1\r\nAnswer-Seal: s\r\n"
+                              "Content-Length: 4\r\n\r\nbody"),
+                  ExchangeFailure::Garbled)
+                << status;
+    }
+    EXPECT_EQ(failureOf("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n"),
+              ExchangeFailure::ConnectionLost);
+}
+
 // Guards against the rest of a long body that a target would take for the next request.
 TEST_F(TargetExchangeTest, AConnectionAnsweredBeforeTheBodyWasWrittenIsNotReused)
 {
--- a/testing/raw_peer.cc
+++ b/testing/raw_peer.cc
@@ -100,6 +100,12 @@
     socket_.close(ignored);
 }
 
+void RawClient::closeSending()
+{
+    Error ignored; // a peer that has gone shows at the next read
+    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
 void RawClient::reset()
 {
     Error ignored;
--- a/testing/raw_peer.h
+++ b/testing/raw_peer.h
@@ -46,6 +46,7 @@
     bool waitForClose(std::chrono::milliseconds limit = std::chrono::seconds(5));
 
     void close();
+    void closeSending(); // reading goes on
     void reset(); // closes with a reset
 
 private:
