Decide in one place what of a target's answer is an answer

Cause: the end of a body without length and chunks was the end of the stream, whatever ended it. Where the write of the request is told of a reset first, the read sees nothing but that end. The status wasn't looked at.

Change: judgeAnswer() in connection/answer_end.h takes a status of 200 to 599 with an end that the framing proves, or with an end of the stream that no error of the read, the write or the socket precedes. Both clients ask it.

Ruled out: telling EPIPE (a reset behind the regular end) from ECONNRESET. It would take some more answers that are whole, by a rule that holds on Linux only.

--- a/chestnutvane/connection/http_client_answers_test.cc
+++ b/chestnutvane/connection/http_client_answers_test.cc
@@ -34,8 +34,8 @@
     auto future = promise->get_future();
     client.send({.method = "POST",
                  .url = "http://" + server.address() + "/x",
-                 .headers = {{"Connection", "close"}},
-                 .body = std::make_shared<std::string>(bodyBytes, 'b')},
+                 .body = std::make_shared<std::string>(bodyBytes, 'b'),
+                 .freshConnection = true},
                 [promise](HttpResult result) { promise->set_value(std::move(result)); });
     return future.get();
 }
--- a/chestnutvane/connection/http_exchange.cc
+++ b/chestnutvane/connection/http_exchange.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "chestnutvane/connection/answer_end.h"
 #include "chestnutvane/connection/framing_limits.h"
 
 namespace chestnutvane::internal {
@@ -125,7 +126,6 @@
     }
 }
 
-// A body that ends with the connection cannot be told from one that was cut.
 bool hasProvableEnd(const HttpExchange &exchange, int status)
 {
     return exchange.lengthKnown || status == 204 || status == 304
@@ -195,9 +195,17 @@
     if (!exchange.headEnded) // libcurl reports success if the connection ends in the head
         return exchangeError(HttpFailure::ConnectionLost, exchange,
                              "the connection ended in the head of the answer");
-    if (!hasProvableEnd(exchange, exchange.response.status))
-        return exchangeError(HttpFailure::ConnectionLost, exchange, "the answer states no length");
-    return std::move(exchange.response);
+    const ReceivedAnswer answer{
+            .status = static_cast<unsigned>(status),
+            .read = AnswerRead::Complete,
+            .endsWithConnection = !hasProvableEnd(exchange, exchange.response.status),
+            .connectionFailed = true, // libcurl does not tell whether the stream ended regularly
+    };
+    const AnswerVerdict verdict = judgeAnswer(answer);
+    if (verdict == AnswerVerdict::Final)
+        return std::move(exchange.response);
+    return exchangeError(HttpFailure::ConnectionLost, exchange,
+                         "the answer is " + std::string(enumName(answerVerdictNames, verdict)));
 }
 
 } // namespace chestnutvane::internal
--- a/chestnutvane/connection/target_exchange.cc
+++ b/chestnutvane/connection/target_exchange.cc
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <utility>
 
+#include <sys/socket.h>
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -12,6 +14,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "chestnutvane/connection/answer_end.h"
 #include "chestnutvane/connection/framing_limits.h"
 
 namespace chestnutvane {
@@ -66,6 +69,15 @@
     return std::chrono::seconds(seconds);
 }
 
+// Tells whether the connection has failed and neither a read nor a write was told so far.
+bool hasPendingError(Tcp::socket &socket)
+{
+    int pending = 0;
+    socklen_t size = sizeof(pending);
+    return getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &pending, &size) != 0
+            || pending != 0;
+}
+
 class Exchange : public TargetExchange, public std::enable_shared_from_this<Exchange>
 {
 public:
@@ -84,7 +96,11 @@
     // Reads until the answer is complete, or its buffered bytes exceed the bounds.
     void readSome();
     void onSomeRead(const Error &failure);
-    void onAnswer(const Error &failure);
+    void onReadEnded(const Error &failure);
+    // What was read so far, where the read ended with an error or with the end of the answer.
+    [[nodiscard]] ReceivedAnswer received(const Error &failure);
+    void onInformational();
+    void onFinal();
     void accept(http::response<http::string_body> message);
     void fail(ExchangeFailure failure);
     void finish(std::variant<TargetAnswer, ExchangeError> outcome);
@@ -111,6 +127,7 @@
     bool isCounted_ = false; // in the pool
     bool sent_ = false; // a byte of the request may be on its way
     bool written_ = false; // the whole request was written
+    bool writeFailed_ = false;
     bool done_ = false;
 };
 
@@ -159,6 +176,7 @@
                                                                            std::size_t) {
                           // A failed write is judged by the read: an early answer may be there.
                           self->written_ = !failure;
+                          self->writeFailed_ = bool(failure);
                       });
     receive();
 }
@@ -184,8 +202,15 @@
 
 void Exchange::onSomeRead(const Error &failure)
 {
-    if (failure || parser_->is_done())
-        return onAnswer(failure);
+    if (failure || parser_->is_done()) {
+        // The error that ended the write may be reported behind the end of the stream.
+        if (!failure && parser_->need_eof() && !written_)
+            return net::post(io_, [self = shared_from_this()] {
+                if (!self->done_)
+                    self->onReadEnded({});
+            });
+        return onReadEnded(failure);
+    }
     const std::size_t size = parser_->get().body().size();
     const std::size_t before = std::exchange(bufferedBytes_, size);
     if (!pool_.answerMemory().resizeAnswer(before, size))
@@ -193,20 +218,47 @@
     readSome();
 }
 
-void Exchange::onAnswer(const Error &failure)
+void Exchange::onReadEnded(const Error &failure)
 {
-    if (failure) {
-        const bool broken = failure.category()
-                        == boost::beast::http::make_error_code(http::error::bad_version).category()
-                && failure != http::error::end_of_stream && failure != http::error::partial_message;
-        return fail(broken ? ExchangeFailure::Garbled : ExchangeFailure::ConnectionLost);
+    switch (judgeAnswer(received(failure))) {
+    case AnswerVerdict::Cut:
+        return fail(ExchangeFailure::ConnectionLost);
+    case AnswerVerdict::Malformed:
+        return fail(ExchangeFailure::Garbled);
+    case AnswerVerdict::Informational:
+        return onInformational();
+    case AnswerVerdict::Final:
+        return onFinal();
     }
-    auto message = parser_->release();
-    if (http::to_status_class(message.result_int()) == http::status_class::informational) {
-        if (++informationalAnswers_ > maxInformationalAnswers)
-            return fail(ExchangeFailure::Garbled);
-        return receive();
+}
+
+ReceivedAnswer Exchange::received(const Error &failure)
+{
+    ReceivedAnswer answer;
+    if (!failure) {
+        answer.read = AnswerRead::Complete;
+        answer.status = parser_->get().result_int();
+        answer.endsWithConnection = parser_->need_eof();
+        answer.connectionFailed = writeFailed_ || hasPendingError(socket_);
+        return answer;
     }
+    const bool isSyntax = failure.category()
+                    == boost::beast::http::make_error_code(http::error::bad_version).category()
+            && failure != http::error::end_of_stream && failure != http::error::partial_message;
+    answer.read = isSyntax ? AnswerRead::Garbled : AnswerRead::Cut;
+    return answer;
+}
+
+void Exchange::onInformational()
+{
+    if (++informationalAnswers_ > maxInformationalAnswers)
+        return fail(ExchangeFailure::Garbled);
+    receive();
+}
+
+void Exchange::onFinal()
+{
+    auto message = parser_->release();
     const auto id = message.find(request_.names.requestId);
     if (id != message.end() && id->value() != request_.requestId) {
         if (++extraAnswers_ > maxExtraAnswers || !message.keep_alive())
--- a/chestnutvane/connection/target_exchange.h
+++ b/chestnutvane/connection/target_exchange.h
@@ -1,8 +1,9 @@
 // One attempt of a request at one target over HTTP/1.1, and the pool of idle connections.
 //
 // An answer counts only if it is whole, belongs to the request and bears the target's seal or the
-// target's word that the request did not run. Extra answers of earlier requests are dropped; a
-// connection with bytes behind its answer, or with a request that was not fully written, is closed.
+// target's word that the request did not run (see answer_end.h for what is whole). Extra answers of
+// earlier requests are dropped; a connection with bytes behind its answer, or with a request that
+// was not fully written, is closed.
 //
 // What a target says of itself (its load, that it leaves, that it wants a pause) counts in such
 // answers only; an answer of another request, or without a seal, counts for nothing.
