Follow a store that comes back from a copy

Cause: revisions were taken to rise for ever. After a copy they go back and are given out again, so newer entries of targets counted as older, a history ran on from a revision that meant another write, and equal revisions made contents look equal.

Change, as docs/design/store-era.md says: the adapter reads the era of each answer; lists, changes, history gaps, reports and the content of peers carry it. When it rises, the prefixes are listed anew, the lease is taken anew, and for 2.1 s nothing that was in force is taken back because the copy lacks it. Entries of targets of different eras are ordered by start and sequence. The operator's keys are compared by their values. An older configuration of the copy is refused in the feed, which now says so (routes-refused, older-revision).

--- a/chestnutvane/process/gateway/fleet/feed_sharing.cc
+++ b/chestnutvane/process/gateway/fleet/feed_sharing.cc
@@ -7,8 +7,10 @@
 
 namespace chestnutvane {
 
-void FeedFreshness::onContentRead(BootTime start, std::uint64_t fingerprint, ContentSource source)
+void FeedFreshness::onContentRead(BootTime start, std::uint64_t fingerprint, ContentSource source,
+                                  std::uint64_t era)
 {
+    era_ = era;
     fingerprint_ = fingerprint;
     confirmedAt_ = std::max(confirmedAt_, start);
     if (source == ContentSource::Store)
@@ -18,8 +20,12 @@
 
 void FeedFreshness::onPeerStatus(const FeedStatus &status, BootTime now)
 {
-    if (status.fingerprint == 0)
+    if (status.fingerprint == 0 || status.era < era_)
         return;
+    if (status.era > era_) {
+        outdated_ = true;
+        return;
+    }
     const BootTime readAt = now - status.age - maxReportTransit;
     if (readAt <= confirmedAt_)
         return;
@@ -31,14 +37,14 @@
     }
 }
 
-bool FeedFreshness::mayApplyChange(std::uint64_t from, BootTime readAt) const
+bool FeedFreshness::mayApplyChange(std::uint64_t from, BootTime readAt, std::uint64_t era) const
 {
-    return hasContent() && from == fingerprint_ && readAt > confirmedAt_;
+    return hasContent() && era == era_ && from == fingerprint_ && readAt > confirmedAt_;
 }
 
 FeedStatus FeedFreshness::status(BootTime now) const
 {
-    return {fingerprint_, std::chrono::duration_cast<Milliseconds>(now - ownReadAt_)};
+    return {fingerprint_, std::chrono::duration_cast<Milliseconds>(now - ownReadAt_), era_};
 }
 
 bool isReadDue(const FeedFreshness &freshness, bool isReader, BootTime now)
--- a/chestnutvane/process/gateway/fleet/feed_sharing.h
+++ b/chestnutvane/process/gateway/fleet/feed_sharing.h
@@ -26,6 +26,7 @@
 #include <vector>
 
 #include "chestnutvane/base/boot_clock.h"
+#include "chestnutvane/base/enum_names.h"
 #include "chestnutvane/base/time.h"
 
 namespace chestnutvane {
@@ -35,6 +36,7 @@
 {
     std::uint64_t fingerprint = 0; // of the content; 0: no content
     Milliseconds age{0}; // since the start of the instance's own last read of the store
+    std::uint64_t era = 0; // of the store when it was read; 0: unknown
 
     friend bool operator==(const FeedStatus &, const FeedStatus &) = default;
 };
@@ -45,6 +47,11 @@
     Peer, // a read of a peer, passed on by it
 };
 
+inline constexpr EnumName<ContentSource> contentSourceNames[] = {
+        {ContentSource::Store, "store"},
+        {ContentSource::Peer, "peer"},
+};
+
 // Usual upper bound of the time from sending a report to processing it, within a region.
 inline constexpr Milliseconds maxReportTransit{30};
 
@@ -53,18 +60,19 @@
 {
 public:
     // Records that a read which started at `start` returned the current content, with the given
-    // fingerprint.
+    // fingerprint, from a store in the given era.
     void onContentRead(BootTime start, std::uint64_t fingerprint,
-                       ContentSource source = ContentSource::Store);
+                       ContentSource source = ContentSource::Store, std::uint64_t era = 0);
 
     // Compares the content with the status of a peer in the same region. The status is assumed to
     // be maxReportTransit older than it says. A longer transit makes the peer's read look newer by
-    // the rest, but only once.
+    // the rest, but only once. A status of an older era says nothing about the store as it is; one
+    // of a newer era makes a read due.
     void onPeerStatus(const FeedStatus &status, BootTime now);
 
     // Whether a change from the fingerprint `from`, read by a peer at `readAt`, starts from this
-    // instance's content and leads to newer content.
-    [[nodiscard]] bool mayApplyChange(std::uint64_t from, BootTime readAt) const;
+    // instance's content and leads to newer content of the same era.
+    [[nodiscard]] bool mayApplyChange(std::uint64_t from, BootTime readAt, std::uint64_t era) const;
 
     // Makes a read due at once, because the content is known to differ from the newest.
     void markOutdated() { outdated_ = true; }
@@ -83,6 +91,7 @@
 
 private:
     std::uint64_t fingerprint_ = 0;
+    std::uint64_t era_ = 0;
     BootTime confirmedAt_;
     BootTime ownReadAt_; // start of this instance's last read of the store
     bool outdated_ = false;
--- a/chestnutvane/process/gateway/fleet/feed_sharing_test.cc
+++ b/chestnutvane/process/gateway/fleet/feed_sharing_test.cc
@@ -21,6 +21,25 @@
     }
 }
 
+// Guards against a store that came back from a copy: what was read before confirms nothing, and a
+// later read is not missed although its fingerprint, or its time, looks the same.
+TEST(FeedSharingTest, OnlyTheSameEraConfirms)
+{
+    FeedFreshness freshness;
+    freshness.onContentRead(start, 7, ContentSource::Store, 2);
+    freshness.onPeerStatus({7, 0ms, 1}, start + 500ms);
+    EXPECT_EQ(freshness.confirmedAt(), start);
+    freshness.onPeerStatus({8, 0ms, 1}, start + 500ms);
+    EXPECT_FALSE(freshness.isOutdated());
+    EXPECT_FALSE(freshness.mayApplyChange(7, start + 500ms, 1));
+    EXPECT_TRUE(freshness.mayApplyChange(7, start + 500ms, 2));
+    freshness.onPeerStatus({7, 0ms, 2}, start + 500ms);
+    EXPECT_GT(freshness.confirmedAt(), start);
+    freshness.onPeerStatus({7, 2s, 3}, start + 600ms);
+    EXPECT_TRUE(freshness.isOutdated());
+    EXPECT_EQ(freshness.status(start + 1s).era, 2U);
+}
+
 // Guards against updates that an instance only sees with its next regular read.
 TEST(FeedSharingTest, OtherContentReadLaterMakesAReadDueAtOnce)
 {
--- a/chestnutvane/process/gateway/fleet/load_report.cc
+++ b/chestnutvane/process/gateway/fleet/load_report.cc
@@ -81,10 +81,15 @@
                              report.targetsFeed.age.count(), report.operatorFeed.fingerprint,
                              report.operatorFeed.age.count()});
     // Optional fields come last, as older instances ignore trailing fields that they do not know.
-    if (!report.feedChange.empty() || !report.crashCounts.empty())
+    const bool hasEras = report.targetsFeed.era != 0 || report.operatorFeed.era != 0;
+    if (!report.feedChange.empty() || !report.crashCounts.empty() || hasEras)
         list.push_back(Json::binary({report.feedChange.begin(), report.feedChange.end()}));
-    if (!report.crashCounts.empty())
+    if (!report.crashCounts.empty() || hasEras)
         list.push_back(encodeCrashCounts(report.crashCounts));
+    if (hasEras) {
+        list.push_back(report.targetsFeed.era);
+        list.push_back(report.operatorFeed.era);
+    }
     std::string text;
     Json::to_cbor(list, text);
     return text;
@@ -126,6 +131,10 @@
         }
         if (list.size() > changeAt + 1)
             report.crashCounts = decodeCrashCounts(list.at(changeAt + 1));
+        if (constexpr std::size_t erasAt = changeAt + 2; list.size() > erasAt) {
+            report.targetsFeed.era = list.at(erasAt);
+            report.operatorFeed.era = list.at(erasAt + 1);
+        }
         return report;
     } catch (const Json::exception &failure) {
         return ReportError{failure.what()};
--- a/chestnutvane/process/gateway/fleet/load_report_test.cc
+++ b/chestnutvane/process/gateway/fleet/load_report_test.cc
@@ -20,8 +20,8 @@
     result.state = PeerState::Serving;
     result.sequence = sequence;
     result.revision = 3;
-    result.targetsFeed = {11, Milliseconds(120)};
-    result.operatorFeed = {12, Milliseconds(340)};
+    result.targetsFeed = {11, Milliseconds(120), 4};
+    result.operatorFeed = {12, Milliseconds(340), 3};
     result.inFlight = std::move(inFlight);
     result.queued = {{5, 2}};
     result.warmObjects = {{1, 100}, {2, 200}};
@@ -49,6 +49,22 @@
     EXPECT_EQ(value(received), sent);
 }
 
+// Guards against eras that are decoded as another field, in reports without the optional ones, and
+// against a report of an instance that knows no era.
+TEST(LoadReportTest, AReportMayHoldErasOnly)
+{
+    for (const std::uint64_t era : {0U, 7U}) {
+        LoadReport sent = report("a", 9, {});
+        sent.feedChange.clear();
+        sent.crashCounts.clear();
+        sent.targetsFeed.era = era;
+        sent.operatorFeed.era = era;
+        const auto received = decodeReport(encodeReport(sent));
+        ASSERT_TRUE(isOk(received));
+        EXPECT_EQ(value(received), sent);
+    }
+}
+
 // Guards against crash counts that make a report too large for one datagram of an Ethernet frame.
 TEST(LoadReportTest, AReportWithAllItsCrashCountsFitsIntoADatagram)
 {
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -1,6 +1,7 @@
 #include "chestnutvane/process/gateway/gateway_process.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <random>
 
@@ -172,6 +173,10 @@
         if (feed_.isReader())
             link_->sendFeedChange(change);
     };
+    callbacks.onEraChanged = [this](ContentSource source) {
+        metrics_.increment("vane_gateway_store_era_changes_total",
+                           {{"source", std::string(enumName(contentSourceNames, source))}});
+    };
     callbacks.onContentConfirmed = [this] {
         if (feed_.isReader())
             link_->reportContentRead();
@@ -238,12 +243,13 @@
 // once.
 const std::string &GatewayProcess::packedLists()
 {
-    const std::pair fingerprints(feed_.operatorStatus().fingerprint,
-                                 feed_.targetsStatus().fingerprint);
-    if (fingerprints != packedFingerprints_) {
+    // Contents of two eras may be equal, but their revisions are not comparable.
+    const std::array identity{feed_.operatorStatus().fingerprint, feed_.targetsStatus().fingerprint,
+                              feed_.operatorStatus().era, feed_.targetsStatus().era};
+    if (identity != packedIdentity_) {
         const FeedContent content = feed_.content();
         packedLists_ = packLists(content.operatorKeys.list, content.targets.list);
-        packedFingerprints_ = fingerprints;
+        packedIdentity_ = identity;
     }
     return packedLists_;
 }
--- a/chestnutvane/process/gateway/gateway_process.h
+++ b/chestnutvane/process/gateway/gateway_process.h
@@ -9,6 +9,7 @@
 // Not thread-safe: everything runs on the io_context's single thread.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -103,7 +104,7 @@
     std::string lastFeedPeer_; // the peer that was asked last during start-up
     std::string packedLists_; // for the responses to feed requests of peers
     // Fingerprints of the lists in packedLists_.
-    std::pair<std::uint64_t, std::uint64_t> packedFingerprints_;
+    std::array<std::uint64_t, 4> packedIdentity_{}; // fingerprints and eras of the packed lists
     std::optional<TimePoint> stoppingSince_;
     OwnerThread owner_; // the last member, so that it is destroyed first
 };
--- a/chestnutvane/process/gateway/store/feed_change.cc
+++ b/chestnutvane/process/gateway/store/feed_change.cc
@@ -121,6 +121,7 @@
         entries.erase(key);
     WatchResult result;
     result.version = change.version;
+    result.era = list.era;
     for (auto &[key, entry] : entries)
         result.entries.push_back(std::move(entry));
     return result;
--- a/chestnutvane/process/gateway/store/feed_change.h
+++ b/chestnutvane/process/gateway/store/feed_change.h
@@ -81,11 +81,12 @@
 // Decodes a change. Errors: anything that encodeChange() does not write.
 Result<FeedChange, FeedChangeError> decodeChange(std::string_view bytes);
 
-// Returns the list with the change applied, sorted by key.
+// Returns the list with the change applied, sorted by key. Both must be of the same era.
 WatchResult applyChange(const WatchResult &list, const FeedChange &change);
 
 // Returns the list, sorted by key, with changes that the store told. The list may already include
-// some of them, or later ones: a change of a key does not replace a newer version of it.
+// some of them, or later ones: a change of a key does not replace a newer version of it. Both must
+// be of the same era.
 WatchResult applyStoreChanges(WatchResult list, const StoreChanges &changes);
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/store/feed_content.cc
+++ b/chestnutvane/process/gateway/store/feed_content.cc
@@ -9,13 +9,13 @@
 using Json = nlohmann::json;
 
 // Increased with each change that older instances cannot decode.
-constexpr int formatVersion = 2;
+constexpr int formatVersion = 3;
 // Several times the largest store content that an instance can hold.
 constexpr std::size_t maxUnpackedBytes = 16U << 20U;
 
 Json encodeList(const WatchResult &list)
 {
-    return Json::array({list.version, encodeEntries(list.entries)});
+    return Json::array({list.version, encodeEntries(list.entries), list.era});
 }
 
 // Throws Json::exception.
@@ -24,6 +24,7 @@
     WatchResult list;
     list.version = json.at(0);
     list.entries = decodeEntries(json.at(1));
+    list.era = json.at(2);
     return list;
 }
 
--- a/chestnutvane/process/gateway/store/feed_content_test.cc
+++ b/chestnutvane/process/gateway/store/feed_content_test.cc
@@ -8,7 +8,8 @@
 FeedContent sample()
 {
     FeedContent content;
-    content.operatorKeys = {{41, {{"a/config", "{\"version\":3}", 40}}, false}, Milliseconds(120)};
+    content.operatorKeys = {{41, {{"a/config", "{\"version\":3}", 40}}, false, 5},
+                            Milliseconds(120)};
     content.targets = {{43, {{"b/1", std::string("\xff\x00\xfe", 3), 42}, {"b/2", "", 43}}, false},
                        Milliseconds(0)};
     return content;
@@ -32,6 +33,7 @@
     for (const auto &[got, wanted] : parts) {
         EXPECT_EQ(got.age, wanted.age);
         EXPECT_EQ(got.list.version, wanted.list.version);
+        EXPECT_EQ(got.list.era, wanted.list.era);
         ASSERT_EQ(got.list.entries.size(), wanted.list.entries.size());
         for (std::size_t i = 0; i < wanted.list.entries.size(); ++i) {
             EXPECT_EQ(got.list.entries[i].key, wanted.list.entries[i].key);
--- a/chestnutvane/process/gateway/store/store_feed.cc
+++ b/chestnutvane/process/gateway/store/store_feed.cc
@@ -2,28 +2,11 @@
 
 #include <algorithm>
 
-#include "chestnutvane/process/gateway/store/instance_entry.h"
 #include "chestnutvane/process/log.h"
 
 namespace chestnutvane {
 namespace {
 
-// The entry of a dead instance expires after this time. With a read of the list every
-// isolatedInstanceReadPeriod, callers are no longer directed to it after 4 s.
-constexpr Milliseconds leaseTtl{3000};
-constexpr Milliseconds leaseRenewalPeriod{1000}; // the lease survives two failed renewals
-// A starting instance sends reports to all instances in the list, and missing reports reveal dead
-// instances. Later reads only discover instances whose first reports were lost. Their period grows
-// with the fleet, which reads about 10 lists a second in all.
-constexpr Milliseconds minInstanceReadPeriod{6000};
-constexpr Milliseconds maxInstanceReadPeriod{30000};
-constexpr Milliseconds instanceReadPeriodPerInstance{100};
-// Read period of an instance that receives no reports from its region: it may depend on the list
-// alone to find live instances.
-constexpr Milliseconds isolatedInstanceReadPeriod{800};
-// Delay before the second read of an instance that starts, so that instances that start together
-// discover each other. It doubles with each read.
-constexpr Milliseconds firstInstanceReadPeriod{400};
 // Bounds of the exponential back-off after failed calls.
 constexpr Milliseconds minRetryDelay{150};
 constexpr Milliseconds maxRetryDelay{800};
@@ -75,20 +58,6 @@
     }
 }
 
-// Returns a callback for a store call of the loop. A failure schedules a retry; a result is passed
-// to onResult on the thread of the io_context.
-template <class T, class OnResult>
-auto StoreFeed::withRetry(Loop loop, OnResult onResult)
-{
-    return owner_.posted<Result<T, StoreError>>(
-            [this, loop, onResult](Result<T, StoreError> result) {
-                if (!isOk(result))
-                    return retry(loop, error(result));
-                onSuccess(loop);
-                onResult(value(std::move(result)));
-            });
-}
-
 void StoreFeed::retry(Loop loop, const StoreError &failure)
 {
     LoopState &state = loops_[indexOf(loop)];
@@ -140,9 +109,9 @@
 
 bool StoreFeed::isDue(Loop loop)
 {
-    if (loop == Loop::Targets && removalsDeferred_
-        && Clock::now() >= reachableSince_ + reregistrationGrace)
-        return true; // this read removes the targets that have not registered again
+    if (const auto end = graceEnd(loop);
+        loops_[indexOf(loop)].removalsDeferred && end && Clock::now() >= *end)
+        return true; // this read removes the entries that were not written again
     return isReadDue(freshness(loop), isReader_, BootClock::now());
 }
 
@@ -158,9 +127,8 @@
     const auto dueIn = std::chrono::duration_cast<Milliseconds>(freshness(loop).confirmedAt()
                                                                 + limit - BootClock::now());
     Milliseconds delay = std::clamp(dueIn + Milliseconds{1}, Milliseconds{1}, limit);
-    if (loop == Loop::Targets && removalsDeferred_) {
-        const auto untilGraceEnds = std::chrono::duration_cast<Milliseconds>(
-                reachableSince_ + reregistrationGrace - Clock::now());
+    if (const auto end = graceEnd(loop); state.removalsDeferred && end) {
+        const auto untilGraceEnds = std::chrono::duration_cast<Milliseconds>(*end - Clock::now());
         delay = std::clamp(untilGraceEnds + Milliseconds{1}, Milliseconds{1}, delay);
     }
     scheduleRun(loop, delay);
@@ -209,6 +177,8 @@
     if (!isOk(result))
         return retry(loop, error(result));
     onSuccess(loop);
+    if (!takeEra(loop, value(result).era, ReadKind::StaleList))
+        return;
     if (value(result).version == 0) {
         state.readKind = ReadKind::List;
     } else {
@@ -224,6 +194,8 @@
     state.readRunning = false;
     if (!isOk(result) && error(result).failure == StoreFailure::HistoryCompacted) {
         onSuccess(loop);
+        if (!takeEra(loop, error(result).era, ReadKind::Changes))
+            return;
         // If even the version of a stale list is gone, only a list of the current entries helps.
         const bool wasStale = state.staleList.has_value();
         logEvent(Event::HistoryGap,
@@ -239,6 +211,8 @@
     if (!isOk(result))
         return retry(loop, error(result));
     onSuccess(loop);
+    if (!takeEra(loop, value(result).era, ReadKind::Changes))
+        return;
     const auto staleList = std::exchange(state.staleList, std::nullopt);
     onContentRead(loop, applyStoreChanges(staleList ? *staleList : state.lastList, value(result)));
 }
@@ -250,13 +224,16 @@
     if (!isOk(result))
         return retry(loop, error(result));
     onSuccess(loop);
+    if (!takeEra(loop, value(result).era, ReadKind::List))
+        return;
     if (store_.changesSince)
         state.readKind = ReadKind::Changes;
     onContentRead(loop, value(result));
 }
 
-void StoreFeed::onContentRead(Loop loop, const WatchResult &list)
+void StoreFeed::onContentRead(Loop loop, WatchResult list)
 {
+    list.era = era_;
     const LoopState &state = loops_[indexOf(loop)];
     // A peer's change that was applied while the read was in flight may be newer than this list.
     if (state.readStart > state.peerChangeReadAt)
@@ -265,6 +242,59 @@
     readOrReschedule(loop);
 }
 
+bool StoreFeed::takeEra(Loop loop, std::uint64_t era, ReadKind kind)
+{
+    LoopState &state = loops_[indexOf(loop)];
+    if (era == 0)
+        era = era_; // the answer tells none
+    if (era > era_)
+        beginEra(era, ContentSource::Store);
+    // What the history starts from may be of an earlier era than the answer.
+    const std::uint64_t base = state.staleList ? state.staleList->era : state.lastList.era;
+    if (era == era_ && (kind != ReadKind::Changes || base == era_))
+        return true;
+    state.staleList.reset();
+    state.readKind = ReadKind::List;
+    if (era == era_)
+        startRead(loop);
+    else
+        scheduleRun(loop, minRetryDelay); // the answer was sent before the store came back
+    return false;
+}
+
+void StoreFeed::beginEra(std::uint64_t era, ContentSource source)
+{
+    const std::uint64_t before = std::exchange(era_, era);
+    if (before == 0 && !operatorFreshness_.hasContent() && !targetsFreshness_.hasContent())
+        return; // nothing was read from an earlier one
+    eraSince_ = Clock::now();
+    logEvent(Event::StoreEraChanged,
+             {{"from", before}, {"to", era}, {"source", enumName(contentSourceNames, source)}});
+    for (const Loop loop : {Loop::Operator, Loop::Targets}) {
+        LoopState &state = loops_[indexOf(loop)];
+        state.staleList.reset();
+        state.readKind = ReadKind::List;
+        freshness(loop).markOutdated();
+        if (!state.readRunning)
+            scheduleRun(loop, Milliseconds{0});
+    }
+    // The id of the old lease may be another instance's, so it is neither renewed nor revoked.
+    leaseId_ = 0;
+    if (!deregistered_)
+        scheduleRun(Loop::Lease, Milliseconds{0});
+    callbacks_.onEraChanged(source);
+}
+
+std::optional<TimePoint> StoreFeed::graceEnd(Loop loop) const
+{
+    // An outage makes the entries of targets expire, but none of the operator's.
+    const TimePoint since =
+            loop == Loop::Targets ? std::max(reachableSince_, eraSince_) : eraSince_;
+    if (since == TimePoint{})
+        return std::nullopt;
+    return since + reregistrationGrace;
+}
+
 bool StoreFeed::hasAllContent() const
 {
     return operatorFreshness_.hasContent() && targetsFreshness_.hasContent();
@@ -315,108 +345,4 @@
     return std::chrono::ceil<Milliseconds>(BootClock::now() - operatorFreshness_.confirmedAt());
 }
 
-void StoreFeed::renewLease()
-{
-    if (deregistered_)
-        return;
-    if (leaseId_ == 0) {
-        entryWritten_ = false;
-        return store_.grantLease(leaseTtl,
-                                 withRetry<std::uint64_t>(Loop::Lease, [this](std::uint64_t id) {
-                                     leaseId_ = id;
-                                     logEvent(Event::LeaseObtained, {{"lease", id}});
-                                     writeEntry();
-                                 }));
-    }
-    if (!entryWritten_)
-        return writeEntry();
-    store_.keepAlive(leaseId_, owner_.posted<Result<Done, StoreError>>([this](const auto &result) {
-        onLeaseResult(isOk(result) ? std::nullopt : std::optional(error(result)));
-    }));
-}
-
-void StoreFeed::writeEntry()
-{
-    CompareAndSwap swap;
-    // The incarnation distinguishes the key from entries of earlier starts of this instance.
-    swap.key = format_.instancePrefix + self_.id + "." + std::to_string(self_.incarnation) + "."
-            + std::to_string(leaseId_);
-    swap.value = encodeInstanceEntry(self_);
-    swap.leaseId = leaseId_;
-    const auto onWritten = [this](const Result<std::uint64_t, StoreError> &result) {
-        const bool isWritten = isOk(result) || error(result).failure == StoreFailure::Conflict;
-        entryWritten_ = entryWritten_ || isWritten;
-        onLeaseResult(isWritten ? std::nullopt : std::optional(error(result)));
-    };
-    store_.compareAndSwap(swap, owner_.posted<Result<std::uint64_t, StoreError>>(onWritten));
-}
-
-// Handles the result of a lease renewal or of a write of the entry.
-void StoreFeed::onLeaseResult(const std::optional<StoreError> &failure)
-{
-    if (!failure) {
-        onSuccess(Loop::Lease);
-        return scheduleRun(Loop::Lease, leaseRenewalPeriod);
-    }
-    if (failure->failure == StoreFailure::NotFound)
-        return replaceLease();
-    retry(Loop::Lease, *failure);
-}
-
-void StoreFeed::replaceLease()
-{
-    logEvent(Event::LeaseLost, {{"lease", leaseId_}});
-    leaseId_ = 0;
-    onSuccess(Loop::Lease); // NotFound is a response, so the store is reachable
-    scheduleRun(Loop::Lease, Milliseconds{0});
-}
-
-void StoreFeed::readInstances()
-{
-    // Load reports decide which instances are alive, and the list only serves to discover new ones.
-    // An instance that no longer hears any has nothing else to tell the dead from the living.
-    const bool hasLostPeers = lastPeerReport_ != TimePoint{} && isIsolated();
-    const auto &list = hasLostPeers ? store_.list : store_.listStale;
-    list(format_.instancePrefix,
-         withRetry<WatchResult>(Loop::Instances, [this](const WatchResult &result) {
-             std::vector<PeerIdentity> instances;
-             for (const StoreEntry &entry : result.entries) {
-                 if (auto instance = decodeInstanceEntry(entry.value))
-                     instances.push_back(std::move(*instance));
-             }
-             const std::size_t count = instances.size();
-             callbacks_.onInstances(std::move(instances));
-             scheduleRun(Loop::Instances, nextInstanceRead(count));
-         }));
-}
-
-bool StoreFeed::isIsolated() const
-{
-    return Clock::now() - lastPeerReport_ > FleetView::livenessTimeout;
-}
-
-Milliseconds StoreFeed::nextInstanceRead(std::size_t instances)
-{
-    constexpr int maxDoublings = 8;
-    const Milliseconds startup =
-            firstInstanceReadPeriod * (1 << std::min(instanceReads_++, maxDoublings));
-    const Milliseconds regular = isIsolated()
-            ? isolatedInstanceReadPeriod
-            : std::clamp(instanceReadPeriodPerInstance * static_cast<Milliseconds::rep>(instances),
-                         minInstanceReadPeriod, maxInstanceReadPeriod);
-    return std::min(startup, regular);
-}
-
-void StoreFeed::deregister()
-{
-    deregistered_ = true;
-    loops_[indexOf(Loop::Lease)].timer->cancel();
-    if (leaseId_ == 0)
-        return;
-    store_.revokeLease(leaseId_, [](const Result<Done, StoreError> &result) {
-        if (!isOk(result)) // the entry expires with its lease within leaseTtl
-            logEvent(Event::StoreFailed, {{"reason", "leave"}, {"detail", error(result).detail}});
-    });
-}
-
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/store/store_feed.h
+++ b/chestnutvane/process/gateway/store/store_feed.h
@@ -9,6 +9,10 @@
 // becomes unreachable and one when it is reachable again. The content of the last successful read
 // stays in force in between.
 //
+// When the era of the store rises, the store lost its latest writes: all is listed anew, and for
+// reregistrationGrace what was in force before is not taken back by what the store lacks (see
+// docs/design/store-era.md).
+//
 // Example:
 //
 //   StoreFeed feed(io, store, format, identity, callbacks);
@@ -33,6 +37,7 @@
 
 #include "chestnutvane/process/gateway/fleet/feed_sharing.h"
 #include "chestnutvane/process/gateway/fleet/load_report.h"
+#include "chestnutvane/process/gateway/store/evacuation_memory.h"
 #include "chestnutvane/process/gateway/store/feed_change.h"
 #include "chestnutvane/process/gateway/store/feed_content.h"
 #include "chestnutvane/process/gateway/target_registry.h"
@@ -48,13 +53,13 @@
     MissingField,
     BadField, // wrong type or invalid value
     BadRoutes, // the routes contradict each other
+    OlderRevision, // a newer revision is in force
 };
 
 inline constexpr EnumName<FeedFault> feedFaultNames[] = {
-        {FeedFault::NotReadable, "not-readable"},
-        {FeedFault::MissingField, "missing-field"},
-        {FeedFault::BadField, "bad-field"},
-        {FeedFault::BadRoutes, "bad-routes"},
+        {FeedFault::NotReadable, "not-readable"},     {FeedFault::MissingField, "missing-field"},
+        {FeedFault::BadField, "bad-field"},           {FeedFault::BadRoutes, "bad-routes"},
+        {FeedFault::OlderRevision, "older-revision"},
 };
 
 struct FeedError
@@ -87,6 +92,8 @@
     // The content of a prefix has changed. `change` is the encoded change, or empty if peers must
     // not apply it.
     std::function<void(const std::string &change)> onContentChanged;
+    // The store came back from a copy, as its own answer or the content of a peer tells.
+    std::function<void(ContentSource)> onEraChanged;
     // The store confirmed the content, or had newer. Called after each read of this instance.
     std::function<void()> onContentConfirmed;
     // A peer has newer content. Requests the content from the peer, passes a response to
@@ -122,6 +129,9 @@
     [[nodiscard]] bool hasAllContent() const;
     [[nodiscard]] bool isStoreUnreachable() const { return storeUnreachable_; }
 
+    // The highest era of the store that this instance knows; 0 if the store tells none.
+    [[nodiscard]] std::uint64_t era() const { return era_; }
+
     // The current content of both prefixes, for a peer that starts while the store is unreachable
     // or that missed a change.
     [[nodiscard]] FeedContent content() const;
@@ -148,8 +158,9 @@
         Instances,
     };
 
-    // Targets whose entries expired while the store was unreachable register again within 2 s of
-    // its return. Until then, a target that is missing from the list is not removed.
+    // Entries that the store lost while it was unreachable, or by coming back from a copy, are
+    // written again within 2 s of its return. Until then, a target that is missing from the list is
+    // not removed.
     static constexpr Milliseconds reregistrationGrace{2100};
 
     // How the content of a prefix is read next.
@@ -174,11 +185,18 @@
     void readOrReschedule(Loop loop);
     void startRead(Loop loop);
     void resumeParkedLoops();
+    // Whether the answer to a read can be used: it belongs to the current era, or begins a new one
+    // that was read from its start on. Otherwise the prefix is listed anew.
+    bool takeEra(Loop loop, std::uint64_t era, ReadKind kind);
+    // Begins to follow a store that came back from a copy.
+    void beginEra(std::uint64_t era, ContentSource source);
+    // When the entries of a prefix that the store lost count as gone; nothing if it lost none.
+    [[nodiscard]] std::optional<TimePoint> graceEnd(Loop loop) const;
     void onList(Loop loop, const Result<WatchResult, StoreError> &result);
     void onStaleList(Loop loop, const Result<WatchResult, StoreError> &result);
     void onChanges(Loop loop, const Result<StoreChanges, StoreError> &result);
     // Applies the list of a completed read, unless a peer's newer content was applied meanwhile.
-    void onContentRead(Loop loop, const WatchResult &list);
+    void onContentRead(Loop loop, WatchResult list);
     // The delay until the next read of the list of instances.
     [[nodiscard]] Milliseconds nextInstanceRead(std::size_t instances);
     // The decoded entry of a target, and the hash of its content.
@@ -195,6 +213,8 @@
     void applyPeerChange(const LoadReport &report);
     [[nodiscard]] EntryHashes entryHashesOf(Loop loop, const WatchResult &list);
     [[nodiscard]] std::string targetIdOf(const StoreEntry &entry) const;
+    // Takes the routes if they are not older than those in force.
+    void adoptRoutes(const StoreEntry &entry);
     // Decode a list, invoke the callbacks, and return the hashes of the entries.
     EntryHashes applyOperatorList(const WatchResult &result);
     EntryHashes applyTargetList(const WatchResult &result);
@@ -202,6 +222,7 @@
     void writeEntry();
     void replaceLease();
     void readInstances();
+    void keepUnlistedInstances(std::vector<PeerIdentity> &instances);
     // Whether no report of the region has arrived for a while.
     [[nodiscard]] bool isIsolated() const;
     template <class T, class OnResult>
@@ -218,6 +239,7 @@
         BootTime readStart; // of the last list call
         bool readRunning = false;
         ReadKind readKind = ReadKind::List;
+        bool removalsDeferred = false; // entries missing from the last list may still be in force
         std::optional<WatchResult> staleList; // that the next changes complete
         WatchResult lastList;
         EntryHashes entryHashes; // of lastList
@@ -232,12 +254,14 @@
     std::mt19937 random_;
     FeedFreshness operatorFreshness_;
     FeedFreshness targetsFreshness_;
-    bool removalsDeferred_ = false; // targets missing from the last list may still be in use
     bool isReader_ = true;
-    std::string routesText_; // encoded routes of the revision in force
+    std::string routesText_; // encoded routes that were read last
+    std::optional<std::uint64_t> routesRevision_; // in force
+    EvacuationMemory evacuations_;
     std::set<std::string> evacuatedZones_;
     std::map<std::string, DecodedTarget> decodedTargets_; // by key; of the last list
     int instanceReads_ = 0; // since the start
+    std::vector<PeerIdentity> listedInstances_;
     std::set<std::string> ignoredTargets_; // ids with invalid values; logged when added
     std::uint64_t leaseId_ = 0;
     bool entryWritten_ = false;
@@ -245,6 +269,8 @@
     bool storeUnreachable_ = false;
     TimePoint lastPeerReport_; // when the last report of a peer was received
     TimePoint reachableSince_; // when the store last became reachable again
+    std::uint64_t era_ = 0; // highest era that was read
+    TimePoint eraSince_; // when a change of the era was noticed
     OwnerThread owner_; // the last member, so that it is destroyed first
 };
 
--- a/chestnutvane/process/gateway/store/store_feed_content.cc
+++ b/chestnutvane/process/gateway/store/store_feed_content.cc
@@ -1,5 +1,6 @@
 // Applies lists read from the store, and changes and content received from peers.
 
+#include "chestnutvane/base/hash.h"
 #include "chestnutvane/process/gateway/store/store_feed.h"
 #include "chestnutvane/process/log.h"
 
@@ -14,15 +15,15 @@
     change.prefix = loop == Loop::Operator ? FeedPrefix::OperatorKeys : FeedPrefix::Targets;
     // Without earlier content there is nothing that peers could apply a change to.
     const bool hadContent = freshness(loop).hasContent();
-    freshness(loop).onContentRead(start, change.to, source);
+    freshness(loop).onContentRead(start, change.to, source, list.era);
     state.lastList = list;
     state.entryHashes = std::move(entryHashes);
     if (hadContent && change.from == change.to)
         return;
-    // While removals are deferred, a target missing from the list may be alive. Each instance
+    // While removals are deferred, an entry missing from the list may be in force. Each instance
     // decides that by itself, so the change is not sent.
     std::string encoded;
-    if (hadContent && (loop != Loop::Targets || !removalsDeferred_))
+    if (hadContent && !state.removalsDeferred)
         encoded = encodeChange(change);
     callbacks_.onContentChanged(encoded.size() <= maxChangeBytes ? encoded : std::string());
 }
@@ -41,7 +42,8 @@
     const Loop loop = change.prefix == FeedPrefix::OperatorKeys ? Loop::Operator : Loop::Targets;
     const FeedStatus &status = loop == Loop::Operator ? report.operatorFeed : report.targetsFeed;
     const BootTime readAt = BootClock::now() - status.age - maxReportTransit;
-    if (!freshness(loop).mayApplyChange(change.from, readAt) || change.to != status.fingerprint)
+    if (!freshness(loop).mayApplyChange(change.from, readAt, status.era)
+        || change.to != status.fingerprint)
         return;
     LoopState &state = loops_[indexOf(loop)];
     logEvent(Event::ChangeApplied,
@@ -69,14 +71,26 @@
         const PrefixContent &prefixContent =
                 loop == Loop::Operator ? content.operatorKeys : content.targets;
         const BootTime readAt = requestedAt - prefixContent.age;
-        if (freshness(loop).hasContent() && readAt <= freshness(loop).confirmedAt())
-            continue; // this instance's content is as new or newer
+        const std::uint64_t era = prefixContent.list.era;
         LoopState &state = loops_[indexOf(loop)];
+        const bool isNewEra = era > state.lastList.era && freshness(loop).hasContent();
+        if (era < era_
+            || (freshness(loop).hasContent() && !isNewEra
+                && readAt <= freshness(loop).confirmedAt()))
+            continue; // this instance's content is as new or newer
+        if (era > era_)
+            beginEra(era, ContentSource::Peer);
         state.peerChangeReadAt = readAt;
+        if (isNewEra) {
+            applyList(loop, prefixContent.list, readAt, ContentSource::Peer);
+            continue;
+        }
         // Entries with equal hashes are not replaced, as this instance may have newer heartbeats.
         const FeedChange change = changeBetween(
                 state.entryHashes, entryHashesOf(loop, prefixContent.list), prefixContent.list);
-        applyList(loop, applyChange(state.lastList, change), readAt, ContentSource::Peer);
+        WatchResult list = applyChange(state.lastList, change);
+        list.era = era; // without earlier content, that of the peer
+        applyList(loop, list, readAt, ContentSource::Peer);
     }
 }
 
@@ -100,7 +114,7 @@
     EntryHashes entryHashes;
     for (const StoreEntry &entry : list.entries) {
         if (loop == Loop::Operator) {
-            entryHashes[entry.key] = entry.version;
+            entryHashes[entry.key] = hash64(entry.value);
         } else if (const DecodedTarget &target = decodedTarget(entry); isOk(target.entry)) {
             entryHashes[entry.key] = target.hash;
         }
@@ -113,31 +127,47 @@
     return entry.key.substr(format_.targetPrefix.size());
 }
 
+void StoreFeed::adoptRoutes(const StoreEntry &entry)
+{
+    if (entry.value == routesText_)
+        return;
+    const auto refuse = [&entry](FeedFault fault, std::string_view detail) {
+        logEvent(Event::RoutesRefused,
+                 {{"fault", enumName(feedFaultNames, fault)},
+                  {"detail", detail},
+                  {"store-version", entry.version}});
+    };
+    auto routes = format_.decodeRoutes(entry.value);
+    if (!isOk(routes))
+        return refuse(error(routes).fault, error(routes).detail);
+    routesText_ = entry.value;
+    const std::uint64_t revision = value(routes)->revision();
+    if (routesRevision_ && revision < *routesRevision_)
+        return refuse(FeedFault::OlderRevision, "revision " + std::to_string(revision));
+    routesRevision_ = revision;
+    logEvent(Event::RoutesAdopted,
+             {{"revision", revision},
+              {"store-version", entry.version},
+              {"routes", value(routes)->routes().size()}});
+    callbacks_.onRoutes(value(std::move(routes)));
+}
+
 EntryHashes StoreFeed::applyOperatorList(const WatchResult &result)
 {
-    std::set<std::string> evacuatedZones;
-    EntryHashes entryHashes;
+    std::map<std::string, EraRevision> listed;
     for (const StoreEntry &entry : result.entries) {
-        entryHashes[entry.key] = entry.version;
         if (entry.key.starts_with(format_.evacuationPrefix))
-            evacuatedZones.insert(entry.key.substr(format_.evacuationPrefix.size()));
-        if (entry.key != format_.routesKey || entry.value == routesText_)
-            continue;
-        auto routes = format_.decodeRoutes(entry.value);
-        if (isOk(routes)) {
-            routesText_ = entry.value;
-            logEvent(Event::RoutesAdopted,
-                     {{"revision", value(routes)->revision()},
-                      {"store-version", entry.version},
-                      {"routes", value(routes)->routes().size()}});
-            callbacks_.onRoutes(value(std::move(routes)));
-        } else {
-            logEvent(Event::RoutesRefused,
-                     {{"fault", enumName(feedFaultNames, error(routes).fault)},
-                      {"detail", error(routes).detail},
-                      {"store-version", entry.version}});
-        }
+            listed[entry.key.substr(format_.evacuationPrefix.size())] = {result.era, entry.version};
+        if (entry.key == format_.routesKey)
+            adoptRoutes(entry);
     }
+    LoopState &state = loops_[indexOf(Loop::Operator)];
+    const auto end = graceEnd(Loop::Operator);
+    state.removalsDeferred = end && Clock::now() < *end;
+    std::set<std::string> evacuatedZones = applyEvacuations(
+            evacuations_, listed,
+            state.removalsDeferred ? ListState::MayLackWrites : ListState::Complete, result.era,
+            BootClock::now());
     if (evacuatedZones != evacuatedZones_) {
         std::string list;
         for (const auto &zone : evacuatedZones)
@@ -146,7 +176,7 @@
         evacuatedZones_ = evacuatedZones;
         callbacks_.onEvacuatedZones(std::move(evacuatedZones));
     }
-    return entryHashes;
+    return entryHashesOf(Loop::Operator, result);
 }
 
 // A new heartbeat alone does not change the returned hashes.
@@ -164,6 +194,7 @@
             entryHashes[entry.key] = hash;
             targets.push_back(value(target));
             targets.back().revision = version;
+            targets.back().era = result.era;
             continue;
         }
         ignored.insert(id);
@@ -176,10 +207,11 @@
     ignoredTargets_ = std::move(ignored);
     std::erase_if(decodedTargets_,
                   [&keys](const auto &decoded) { return !keys.contains(decoded.first); });
-    removalsDeferred_ =
-            reachableSince_ != TimePoint{} && Clock::now() - reachableSince_ < reregistrationGrace;
+    LoopState &state = loops_[indexOf(Loop::Targets)];
+    const auto end = graceEnd(Loop::Targets);
+    state.removalsDeferred = end && Clock::now() < *end;
     callbacks_.onTargets(std::move(targets),
-                         removalsDeferred_ ? RemovalPolicy::Keep : RemovalPolicy::Immediate);
+                         state.removalsDeferred ? RemovalPolicy::Keep : RemovalPolicy::Immediate);
     return entryHashes;
 }
 
--- a/chestnutvane/process/gateway/store/store_feed_test.cc
+++ b/chestnutvane/process/gateway/store/store_feed_test.cc
@@ -96,6 +96,7 @@
             }
         };
         callbacks.onContentChanged = [this](const std::string &change) { lastChange_ = change; };
+        callbacks.onEraChanged = [](ContentSource) {};
         callbacks.onContentConfirmed = [] {};
         callbacks.askPeer = [this](const PeerIdentity &) { ++peerRequests_; };
         return std::make_unique<StoreFeed>(io_, store, format, PeerIdentity{id, 1}, callbacks);
--- a/chestnutvane/process/gateway/target_registry.cc
+++ b/chestnutvane/process/gateway/target_registry.cc
@@ -30,11 +30,22 @@
 // instance, may hold such entries.
 bool isOlder(const TargetEntry &entry, const TargetEntry &known)
 {
+    if (entry.era != known.era) // the copy that began the newer era may hold older entries
+        return entry.era < known.era || entry.startedAt < known.startedAt
+                || (isSameIncarnation(entry, known) && entry.sequence < known.sequence);
     if (entry.revision != 0 && known.revision != 0)
         return entry.revision < known.revision;
     return isSameIncarnation(entry, known) && entry.sequence < known.sequence;
 }
 
+// Whether an entry tells nothing beyond the last one of a target that was removed.
+bool wasKnownAtRemoval(const TargetEntry &entry, const TargetEntry &last)
+{
+    const bool isLastOfEarlierEra = entry.era != last.era && isSameIncarnation(entry, last)
+            && entry.sequence == last.sequence;
+    return isLastOfEarlierEra || isOlder(entry, last);
+}
+
 // Resets the state that belongs to an earlier incarnation.
 void resetIncarnationState(Target &target)
 {
@@ -139,7 +150,7 @@
     auto target = findById(entry.id);
     if (!target) {
         const auto removed = removed_.find(entry.id);
-        if (removed != removed_.end() && isOlder(entry, removed->second.target->entry))
+        if (removed != removed_.end() && wasKnownAtRemoval(entry, removed->second.target->entry))
             return;
         if (removed != removed_.end() && isSameIncarnation(removed->second.target->entry, entry)) {
             target = removed->second.target;
--- a/chestnutvane/process/gateway/target_registry.h
+++ b/chestnutvane/process/gateway/target_registry.h
@@ -38,9 +38,10 @@
     std::uint64_t sequence = 0; // increases with each entry of one incarnation
     // Start time in Unix milliseconds; tells incarnations under one id apart. 0: unknown.
     std::int64_t startedAt = 0;
-    // Revision of the store that wrote the entry; tells an older entry from a newer one. 0:
-    // unknown.
+    // Revision of the store that wrote the entry; tells an older entry from a newer one of the same
+    // era. 0: unknown.
     std::uint64_t revision = 0;
+    std::uint64_t era = 0; // of the store when the entry was read
 
     friend bool operator==(const TargetEntry &, const TargetEntry &) = default;
 };
@@ -143,7 +144,8 @@
 
     // Applies the complete list of entries. Returns the changes. An entry with an older revision
     // than one that was applied before is left out. A target that is missing for a while and comes
-    // back in the same incarnation keeps its state.
+    // back in the same incarnation keeps its state. After a change of the store's era, it comes
+    // back only with an entry that was written later than its last one.
     std::vector<RegistryChange> replaceAll(const std::vector<TargetEntry> &entries, TimePoint now,
                                            RemovalPolicy removals);
 
--- a/chestnutvane/process/store.h
+++ b/chestnutvane/process/store.h
@@ -7,6 +7,10 @@
 // Example:
 //
 //   store.get("config/head", [](Result<StoreEntry, StoreError> result) { ... });
+//
+// A service that is restored from a copy loses its latest writes and assigns their versions again.
+// Its answers tell the era, which increases with each restoration; versions are comparable within
+// an era only.
 #pragma once
 
 #include <cstdint>
@@ -45,10 +49,11 @@
 {
     StoreFailure failure = StoreFailure::Unavailable;
     std::string detail;
+    std::uint64_t era = 0; // of the answer; 0: unknown
 };
 
-// A key with its value. The version increases with every write to any key of the store. It is never
-// reused, not even after a key was removed and written again.
+// A key with its value. The version increases with every write to any key of the store. Within an
+// era it is never reused, not even after a key was removed and written again.
 struct StoreEntry
 {
     std::string key;
@@ -75,6 +80,7 @@
     std::uint64_t version = 0; // pass as afterVersion to the next watch
     std::vector<StoreEntry> entries; // all entries of the prefix
     bool unchanged = false; // the wait ended without a change; entries may be empty
+    std::uint64_t era = 0; // of the answer; 0: unknown
 };
 
 // One write or removal of a key.
@@ -91,6 +97,7 @@
 {
     std::uint64_t version = 0; // pass as afterVersion to the next call
     std::vector<StoreChange> changes;
+    std::uint64_t era = 0; // of the answer; 0: unknown
 };
 
 // The functions of a store adapter.
