--- a/chestnutvane/process/gateway/store/store_era_test.cc
+++ b/chestnutvane/process/gateway/store/store_era_test.cc
@@ -60,13 +60,13 @@
     {
         Store store;
         store.list = [this](const std::string &prefix, const auto &done) {
-            answer([done, result = list(prefix)] { done(result); });
+            answer(prefix, [done, result = list(prefix)] { done(result); });
         };
         store.listStale = store.list;
         store.changesSince = [this](const std::string &prefix, std::uint64_t after,
                                     const auto &done) {
             if (after > state_.version)
-                return answer([done, era = era] {
+                return answer(prefix, [done, era = era] {
                     done(StoreError{StoreFailure::HistoryCompacted, "", era});
                 });
             StoreChanges changes{.version = state_.version, .era = era};
@@ -74,7 +74,7 @@
                 if (change.entry.version > after && change.entry.key.starts_with(prefix))
                     changes.changes.push_back(change);
             }
-            answer([done, changes] { done(changes); });
+            answer(prefix, [done, changes] { done(changes); });
         };
         store.grantLease = [this](Milliseconds, const auto &done) { done(++granted); };
         store.keepAlive = [this](std::uint64_t id, const auto &done) {
@@ -101,16 +101,17 @@
     }
 
     std::uint64_t era = 1;
-    bool holds = false;
+    bool holds = false; // answers about heldPrefix
+    std::string heldPrefix; // empty: of all prefixes
     std::uint64_t granted = 0;
     std::vector<std::uint64_t> renewed;
     std::vector<std::uint64_t> revoked;
     std::vector<std::uint64_t> entryLeases;
 
 private:
-    void answer(std::function<void()> send)
+    void answer(const std::string &prefix, std::function<void()> send)
     {
-        if (holds)
+        if (holds && prefix.starts_with(heldPrefix))
             held_.push_back(std::move(send));
         else
             send();
@@ -428,6 +429,27 @@
     });
 }
 
+// Guards against the first list of a prefix that is taken for one of the new era, which another
+// prefix has told of meanwhile.
+TEST_F(StoreEraTest, AListOfAnEarlierEraIsDropped)
+{
+    const auto copy = store_.copy();
+    store_.write("o/routes", "5");
+    store_.holds = true;
+    store_.heldPrefix = "o/";
+    Instance instance(io_, store_, "a");
+    instance.feed->start();
+    io_.poll();
+    store_.restore(copy);
+    read(instance);
+    ASSERT_EQ(instance.feed->era(), 2U);
+    store_.release();
+    io_.poll();
+    EXPECT_EQ(instance.feed->operatorStatus().fingerprint, 0U);
+    runUntil([&instance] { return instance.feed->hasAllContent(); });
+    EXPECT_EQ(instance.feed->content().operatorKeys.list.entries, store_.list("o/").entries);
+}
+
 // Guards against an instance of the old era that confirms or changes the content of the new one,
 // and against one that does not learn of the new era while it cannot reach the store.
 TEST_F(StoreEraTest, InstancesOfDifferentErasDoNotConfirmEachOther)
@@ -516,6 +538,15 @@
             RC_ASSERT(instance->feed->content().targets.list.entries == store.list("t/").entries);
             RC_ASSERT(instance->feed->content().operatorKeys.list.entries
                       == store.list("o/").entries);
+            for (const StoreEntry &entry : store.list("t/").entries) {
+                const auto listed = value(decodeTarget(entry.key.substr(2), entry.value));
+                const Written state{listed.startedAt, listed.sequence, listed.draining};
+                const auto newest = newestRead.find(listed.id);
+                const auto known = instance->registry.findById(listed.id);
+                if (newest == newestRead.end() || state > newest->second)
+                    RC_ASSERT(known && known->entry.sequence == listed.sequence
+                              && known->entry.startedAt == listed.startedAt);
+            }
             break;
         }
         RC_ASSERT(std::is_sorted(instance->revisions.begin(), instance->revisions.end()));
