--- a/chestnutvane/process/gateway/store/store_era_test.cc
+++ b/chestnutvane/process/gateway/store/store_era_test.cc
@@ -208,14 +208,14 @@
 {
     EraWorld()
     {
-        store_.write("o/routes", "1");
-        store_.write("t/1", target(1, 1));
-        store_.write("t/2", target(1, 1));
+        store.write("o/routes", "1");
+        store.write("t/1", target(1, 1));
+        store.write("t/2", target(1, 1));
     }
 
     std::unique_ptr<Instance> start(const std::string &id)
     {
-        auto instance = std::make_unique<Instance>(io_, store_, id);
+        auto instance = std::make_unique<Instance>(io, store, id);
         instance->feed->start();
         runUntil([&] { return instance->feed->hasAllContent(); });
         return instance;
@@ -228,21 +228,21 @@
         // Later than any read of this instance, with a fingerprint of no content.
         outdates.targetsFeed = {1, -1s, instance.feed->era()};
         outdates.operatorFeed = {1, -1s, instance.feed->era()};
-        io_.restart();
+        io.restart();
         instance.feed->onPeerReport(outdates);
-        io_.poll();
+        io.poll();
     }
 
     void runUntil(const std::function<bool()> &condition)
     {
         constexpr int steps = 2000;
         for (int i = 0; i < steps && !condition(); ++i)
-            io_.run_for(5ms);
+            io.run_for(5ms);
         ASSERT_TRUE(condition());
     }
 
-    boost::asio::io_context io_{1};
-    EraStore store_;
+    boost::asio::io_context io{1};
+    EraStore store;
 };
 
 class StoreEraTest : public ::testing::Test, protected EraWorld
@@ -252,16 +252,16 @@
 TEST_F(StoreEraTest, AWriteAfterTheCopyCountsThoughItsRevisionIsLower)
 {
     const auto instance = start("a");
-    const auto copy = store_.copy();
+    const auto copy = store.copy();
     for (int i = 0; i < 5; ++i)
-        store_.write("t/1", target(1, 2 + static_cast<std::uint64_t>(i)));
+        store.write("t/1", target(1, 2 + static_cast<std::uint64_t>(i)));
     read(*instance);
-    store_.restore(copy);
-    store_.write("t/1", target(1, 7, true));
+    store.restore(copy);
+    store.write("t/1", target(1, 7, true));
     read(*instance);
     EXPECT_FALSE(instance->isEligible("1"));
     EXPECT_TRUE(instance->isEligible("2"));
-    store_.write("t/2", target(1, 2, true));
+    store.write("t/2", target(1, 2, true));
     read(*instance);
     EXPECT_FALSE(instance->isEligible("2"));
     EXPECT_EQ(instance->eraChanges, std::vector{ContentSource::Store});
@@ -271,16 +271,16 @@
 TEST_F(StoreEraTest, AHistoryIsNotFollowedAcrossACopy)
 {
     const auto instance = start("a");
-    const auto copy = store_.copy();
-    store_.write("t/3", target(1, 1));
+    const auto copy = store.copy();
+    store.write("t/3", target(1, 1));
     read(*instance);
     ASSERT_TRUE(instance->isEligible("3"));
-    store_.restore(copy);
-    store_.remove("t/2"); // with the revision of the lost write
-    store_.write("t/4", target(1, 1));
+    store.restore(copy);
+    store.remove("t/2"); // with the revision of the lost write
+    store.write("t/4", target(1, 1));
     read(*instance);
     EXPECT_TRUE(instance->isEligible("4"));
-    EXPECT_EQ(instance->feed->content().targets.list.entries, store_.list("t/").entries);
+    EXPECT_EQ(instance->feed->content().targets.list.entries, store.list("t/").entries);
     runUntil([&] { return !instance->isEligible("2"); });
     runUntil([&] { return !instance->isEligible("3"); });
 }
@@ -289,16 +289,16 @@
 TEST_F(StoreEraTest, ADrainThatTheCopyLacksStays)
 {
     const auto instance = start("a");
-    const auto copy = store_.copy();
-    store_.write("t/1", target(1, 2, true));
+    const auto copy = store.copy();
+    store.write("t/1", target(1, 2, true));
     read(*instance);
-    store_.restore(copy);
+    store.restore(copy);
     read(*instance);
     EXPECT_FALSE(instance->isEligible("1"));
-    store_.restore(copy);
+    store.restore(copy);
     read(*instance);
     EXPECT_FALSE(instance->isEligible("1"));
-    store_.write("t/1", target(2, 1)); // a new start
+    store.write("t/1", target(2, 1)); // a new start
     read(*instance);
     EXPECT_TRUE(instance->isEligible("1"));
 }
@@ -308,14 +308,14 @@
 TEST_F(StoreEraTest, ATargetThatLeftStaysAway)
 {
     const auto instance = start("a");
-    const auto copy = store_.copy();
-    store_.remove("t/1");
+    const auto copy = store.copy();
+    store.remove("t/1");
     read(*instance);
     ASSERT_FALSE(instance->isEligible("1"));
-    store_.restore(copy);
+    store.restore(copy);
     read(*instance);
     EXPECT_FALSE(instance->isEligible("1"));
-    store_.write("t/1", target(1, 2)); // its entry had only expired
+    store.write("t/1", target(1, 2)); // its entry had only expired
     read(*instance);
     EXPECT_TRUE(instance->isEligible("1"));
 }
@@ -325,15 +325,15 @@
 TEST_F(StoreEraTest, ATargetThatTheCopyLacksIsKeptForTheGrace)
 {
     const auto instance = start("a");
-    const auto copy = store_.copy();
-    store_.write("t/3", target(1, 1));
-    store_.write("t/4", target(1, 1));
+    const auto copy = store.copy();
+    store.write("t/3", target(1, 1));
+    store.write("t/4", target(1, 1));
     read(*instance);
-    store_.restore(copy);
+    store.restore(copy);
     const auto restoredAt = Clock::now();
     read(*instance);
     EXPECT_TRUE(instance->isEligible("3"));
-    store_.write("t/3", target(1, 2));
+    store.write("t/3", target(1, 2));
     runUntil([&] { return !instance->isEligible("4"); });
     EXPECT_GE(Clock::now() - restoredAt, 2s);
     EXPECT_TRUE(instance->isEligible("3"));
@@ -344,14 +344,14 @@
 TEST_F(StoreEraTest, AnEvacuationThatTheCopyLacksIsKeptForTheGrace)
 {
     const auto instance = start("a");
-    const auto copy = store_.copy();
-    store_.write("o/evacuate/z1", "{}");
-    store_.write("o/evacuate/z2", "{}");
+    const auto copy = store.copy();
+    store.write("o/evacuate/z1", "{}");
+    store.write("o/evacuate/z2", "{}");
     read(*instance);
-    store_.restore(copy);
+    store.restore(copy);
     read(*instance);
     EXPECT_EQ(instance->evacuated, (std::set<std::string>{"z1", "z2"}));
-    store_.write("o/evacuate/z1", "{}");
+    store.write("o/evacuate/z1", "{}");
     runUntil([&] { return instance->evacuated == std::set<std::string>{"z1"}; });
 }
 
@@ -360,13 +360,13 @@
 TEST_F(StoreEraTest, AnOlderConfigurationOfTheCopyIsNotTaken)
 {
     const auto instance = start("a");
-    const auto copy = store_.copy();
-    store_.write("o/routes", "5");
+    const auto copy = store.copy();
+    store.write("o/routes", "5");
     read(*instance);
-    store_.restore(copy);
+    store.restore(copy);
     read(*instance);
     EXPECT_EQ(instance->revisions, (std::vector<std::uint64_t>{1, 5}));
-    store_.write("o/routes", "7");
+    store.write("o/routes", "7");
     read(*instance);
     EXPECT_EQ(instance->revisions, (std::vector<std::uint64_t>{1, 5, 7}));
 }
@@ -375,12 +375,12 @@
 TEST_F(StoreEraTest, EqualRevisionsDoNotMakeContentsEqual)
 {
     const auto instance = start("a");
-    const auto copy = store_.copy();
-    store_.write("o/evacuate/z1", "first");
+    const auto copy = store.copy();
+    store.write("o/evacuate/z1", "first");
     read(*instance);
     const auto lost = instance->feed->operatorStatus();
-    store_.restore(copy);
-    store_.write("o/evacuate/z1", "second"); // with the same revision
+    store.restore(copy);
+    store.write("o/evacuate/z1", "second"); // with the same revision
     const auto other = start("b");
     const auto current = other->feed->operatorStatus();
     EXPECT_NE(lost.fingerprint, current.fingerprint);
@@ -392,40 +392,40 @@
 TEST_F(StoreEraTest, TheLeaseIsTakenAnew)
 {
     const auto instance = start("a");
-    runUntil([this] { return !store_.entryLeases.empty(); });
-    const std::uint64_t before = store_.granted;
-    store_.restore(store_.copy());
+    runUntil([this] { return !store.entryLeases.empty(); });
+    const std::uint64_t before = store.granted;
+    store.restore(store.copy());
     read(*instance);
-    runUntil([this, before] { return store_.entryLeases.back() > before; });
-    EXPECT_EQ(store_.granted, before + 1);
-    store_.renewed.clear();
-    runUntil([this] { return !store_.renewed.empty(); });
-    EXPECT_EQ(store_.renewed.front(), before + 1);
-    EXPECT_TRUE(store_.revoked.empty());
+    runUntil([this, before] { return store.entryLeases.back() > before; });
+    EXPECT_EQ(store.granted, before + 1);
+    store.renewed.clear();
+    runUntil([this] { return !store.renewed.empty(); });
+    EXPECT_EQ(store.renewed.front(), before + 1);
+    EXPECT_TRUE(store.revoked.empty());
 }
 
 // Guards against an answer from before the store came back that undoes what was read since.
 TEST_F(StoreEraTest, AnAnswerOfAnEarlierEraIsDropped)
 {
     const auto instance = start("a");
-    const auto copy = store_.copy();
-    store_.write("t/3", target(1, 1));
-    store_.holds = true;
+    const auto copy = store.copy();
+    store.write("t/3", target(1, 1));
+    store.holds = true;
     read(*instance); // its answers are under way
-    store_.restore(copy);
-    store_.write("t/2", target(1, 2, true));
-    Instance other(io_, store_, "b");
-    store_.holds = false;
+    store.restore(copy);
+    store.write("t/2", target(1, 2, true));
+    Instance other(io, store, "b");
+    store.holds = false;
     other.feed->start();
     runUntil([&other] { return other.feed->hasAllContent(); });
     instance->feed->applyPeerContent(other.feed->content(), BootClock::now());
     ASSERT_FALSE(instance->isEligible("2"));
-    store_.release();
-    io_.poll();
+    store.release();
+    io.poll();
     EXPECT_FALSE(instance->isEligible("2"));
     EXPECT_EQ(instance->feed->targetsStatus().era, 2U);
     runUntil([&] {
-        return instance->feed->content().targets.list.entries == store_.list("t/").entries;
+        return instance->feed->content().targets.list.entries == store.list("t/").entries;
     });
 }
 
@@ -433,21 +433,21 @@
 // prefix has told of meanwhile.
 TEST_F(StoreEraTest, AListOfAnEarlierEraIsDropped)
 {
-    const auto copy = store_.copy();
-    store_.write("o/routes", "5");
-    store_.holds = true;
-    store_.heldPrefix = "o/";
-    Instance instance(io_, store_, "a");
+    const auto copy = store.copy();
+    store.write("o/routes", "5");
+    store.holds = true;
+    store.heldPrefix = "o/";
+    Instance instance(io, store, "a");
     instance.feed->start();
-    io_.poll();
-    store_.restore(copy);
+    io.poll();
+    store.restore(copy);
     read(instance);
     ASSERT_EQ(instance.feed->era(), 2U);
-    store_.release();
-    io_.poll();
+    store.release();
+    io.poll();
     EXPECT_EQ(instance.feed->operatorStatus().fingerprint, 0U);
     runUntil([&instance] { return instance.feed->hasAllContent(); });
-    EXPECT_EQ(instance.feed->content().operatorKeys.list.entries, store_.list("o/").entries);
+    EXPECT_EQ(instance.feed->content().operatorKeys.list.entries, store.list("o/").entries);
 }
 
 // Guards against an instance of the old era that confirms or changes the content of the new one,
@@ -456,16 +456,16 @@
 {
     const auto cutOff = start("a");
     const auto reader = start("b");
-    const auto copy = store_.copy();
-    store_.write("t/1", target(1, 2, true));
+    const auto copy = store.copy();
+    store.write("t/1", target(1, 2, true));
     read(*cutOff);
-    store_.restore(copy);
-    store_.write("t/2", target(1, 2, true));
+    store.restore(copy);
+    store.write("t/2", target(1, 2, true));
     read(*reader);
     const BootTime confirmed = BootClock::now() - reader->feed->targetsAge();
     LoadReport old = cutOff->report();
     old.targetsFeed.age = old.operatorFeed.age = -1s; // a late report with a wrong age
-    store_.holds = true;
+    store.holds = true;
     reader->feed->onPeerReport(old);
     EXPECT_LE(BootClock::now() - reader->feed->targetsAge(), confirmed + 5ms);
     EXPECT_TRUE(reader->isEligible("1")); // it never knew of the drain
@@ -494,7 +494,7 @@
 RC_GTEST_PROP(StoreEraPropertyTest, NothingGoesBackOverRandomOrders, ())
 {
     EraWorld world;
-    EraStore &store = world.store_;
+    EraStore &store = world.store;
     const auto steps = *rc::gen::container<std::vector<std::pair<Step, int>>>(rc::gen::pair(
             rc::gen::element(Step::Heartbeat, Step::Drain, Step::Restart, Step::Leave,
                              Step::Configure, Step::Copy, Step::Restore, Step::Read, Step::Read),
