Keep callers within the memory and the descriptors of an instance

Bodies short of their end, many fields, requests sent ahead, answers that nobody reads, and idle connections took as much as their callers sent.

Change: sessions charge what they hold to the process's CallerMemory and give way on request: an unfinished request is refused with 503 and Retry-After without reading the rest, an idle connection is closed, and an answer that nobody takes is given up. Requests that are handled go on. A complete request stays charged until nobody uses it, its body twice, since the attempt at a target copies it. Further pipelined requests wait while those before hold over 64 KB of fields or 256 KB of untaken answers. Paths without a route get 404 at the head (CallerGuards::checkHead), and parsers and buffers of refused and idle connections are freed.

--- a/chestnutvane/connection/call_pipeline.cc
+++ b/chestnutvane/connection/call_pipeline.cc
@@ -34,12 +34,20 @@
         call->gone = std::move(gone);
 }
 
-void CallPipeline::setAnswer(std::uint64_t number, HttpResponseMessage answer)
+bool CallPipeline::setAnswer(std::uint64_t number, HttpResponseMessage answer)
 {
-    if (PipelinedCall *call = findOpen(number)) {
-        call->answer = std::move(answer);
-        call->gone = nullptr;
-    }
+    PipelinedCall *call = findOpen(number);
+    if (call == nullptr)
+        return false;
+    call->answer = std::move(answer);
+    call->gone = nullptr;
+    return true;
+}
+
+bool CallPipeline::hasOpenCalls() const
+{
+    return std::any_of(calls_.begin(), calls_.end(),
+                       [](const PipelinedCall &call) { return !call.answer; });
 }
 
 std::optional<HttpResponseMessage> CallPipeline::takeAnswer()
--- a/chestnutvane/connection/call_pipeline.h
+++ b/chestnutvane/connection/call_pipeline.h
@@ -45,8 +45,9 @@
     // for a call that has an answer or has ended.
     void setOnGone(std::uint64_t number, std::function<void()> gone);
 
-    // Takes the answer of a call. Ignored for a call that has an answer or has ended.
-    void setAnswer(std::uint64_t number, HttpResponseMessage answer);
+    // Takes the answer of a call. Returns false, and ignores it, for a call that has an answer or
+    // has ended.
+    bool setAnswer(std::uint64_t number, HttpResponseMessage answer);
 
     // Removes the first call and returns its answer, once that is there.
     [[nodiscard]] std::optional<HttpResponseMessage> takeAnswer();
@@ -54,6 +55,9 @@
     // Ends all calls and returns the functions to call for those without an answer.
     [[nodiscard]] std::vector<std::function<void()>> abandon();
 
+    // Whether a call has no answer yet.
+    [[nodiscard]] bool hasOpenCalls() const;
+
     [[nodiscard]] bool isEmpty() const { return calls_.empty(); }
     [[nodiscard]] std::size_t size() const { return calls_.size(); }
 
--- a/chestnutvane/connection/caller_connection.h
+++ b/chestnutvane/connection/caller_connection.h
@@ -12,13 +12,16 @@
 
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
 
 #include "chestnutvane/base/result.h"
 #include "chestnutvane/base/time.h"
+#include "chestnutvane/connection/caller_memory.h"
 #include "chestnutvane/connection/http_types.h"
 
 namespace chestnutvane {
@@ -51,6 +54,28 @@
 // above a limit or too slow: "IP:port" of the caller, and the status of the answer.
 using RefusalObserver = std::function<void(const std::string &peer, http::status status)>;
 
+// What is known of a request once its head is complete.
+struct HeadVerdict
+{
+    // Answers the request without its body, and ends the connection. The request does not reach the
+    // handler.
+    std::optional<HttpResponseMessage> refusal;
+    int importance = 0; // 0: highest; the least important gives way first
+};
+
+// How a listener keeps within the memory and the descriptors of its process.
+struct CallerGuards
+{
+    // Shared by the listeners of a process. Null: memory has no bound.
+    std::shared_ptr<CallerMemory> memory;
+    // Open connections. Beyond it, one that works on no request gives way to the new one.
+    std::size_t maxConnections = std::numeric_limits<std::size_t>::max();
+    // Asked when a head is complete and its body is not. May be empty.
+    std::function<HeadVerdict(const HttpRequestMessage &head)> checkHead;
+    // Called when no connection can be accepted, once until one is accepted again. May be empty.
+    std::function<void(const std::string &detail)> onAcceptFailed;
+};
+
 struct ListenError
 {
     std::string endpoint;
@@ -64,7 +89,8 @@
     // Starts to listen on "IP:port". The limits are read at the start of each request.
     static Result<std::shared_ptr<CallerListener>, ListenError>
     create(net::io_context &io, const std::string &endpoint, CallHandler handler,
-           std::function<CallerConnectionLimits()> limits, RefusalObserver onRefused = {});
+           std::function<CallerConnectionLimits()> limits, RefusalObserver onRefused = {},
+           CallerGuards guards = {});
 
     virtual ~CallerListener() = default;
 
--- a/chestnutvane/connection/caller_session.cc
+++ b/chestnutvane/connection/caller_session.cc
@@ -1,5 +1,6 @@
 #include "chestnutvane/connection/caller_session.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/write.hpp>
@@ -16,6 +17,26 @@
 // Bytes read behind a request that cannot be handled yet; the connection is not read beyond them.
 constexpr std::size_t maxPipelinedBytes = 65536;
 constexpr std::size_t readChunkBytes = 8192;
+// As above when memory is short.
+constexpr std::size_t maxTightPipelinedBytes = 8192;
+// Fields of requests of one connection that are handled at the same time, as stored.
+constexpr std::size_t maxHandledFieldBytes = 65536;
+// Further requests of a connection wait while its caller has not taken more than these bytes.
+constexpr std::size_t maxUntakenAnswerBytes = 262144;
+// Receive buffer of a connection that is not read on, in bytes.
+constexpr int pausedReceiveBytes = 32768;
+// An unfinished request makes progress with so many bytes; fewer do not keep it from giving way.
+constexpr std::size_t progressBytes = 4096;
+// What a connection holds besides its buffers, in bytes: its objects here and in the event loop.
+constexpr std::size_t connectionBytes = 4096;
+// What a field of a head takes besides its text, in bytes, and an answer besides its body.
+constexpr std::size_t fieldOverheadBytes = 80;
+constexpr std::size_t answerOverheadBytes = 1024;
+// A body is charged for itself and for the copy that goes to a target, or for its spare capacity
+// while it comes in chunks.
+constexpr std::size_t bodyCharge = 2;
+// Seconds after which a request that was refused for room may come again.
+constexpr const char *roomRetryAfter = "0.5";
 // How long an ended connection waits for the caller's close, so that unread bytes do not reset it.
 constexpr Milliseconds lingerTime{1000};
 // A caller that does not read its answer is given up after this time.
@@ -29,22 +50,53 @@
     return socket.available(failure) > 0 && !failure;
 }
 
+std::size_t storedFieldBytes(const HttpRequestMessage &head)
+{
+    std::size_t bytes = head.target().size();
+    for (const auto &field : head)
+        bytes += field.name_string().size() + field.value().size() + fieldOverheadBytes;
+    return bytes;
+}
+
+// A complete request, charged for until nobody uses it.
+struct ChargedRequest
+{
+    ChargedRequest(HttpRequestMessage &&request, const std::shared_ptr<CallerMemory> &memory,
+                   std::size_t fieldBytes)
+        : message(std::move(request)), fields(memory, MemoryPart::Requests, fieldBytes),
+          body(memory, MemoryPart::Bodies, bodyCharge * message.body().size())
+    { }
+
+    HttpRequestMessage message;
+    MemoryHold fields;
+    MemoryHold body;
+};
+
 } // namespace
 
 CallerSession::CallerSession(Tcp::socket socket,
-                             std::shared_ptr<const SessionEnvironment> environment)
+                             std::shared_ptr<const SessionEnvironment> environment,
+                             CallerShares &shares)
     : socket_(std::move(socket)), environment_(std::move(environment)),
-      readTimer_(socket_.get_executor()), writeTimer_(socket_.get_executor())
-{ }
+      readTimer_(socket_.get_executor()), writeTimer_(socket_.get_executor()),
+      account_(environment_->guards.memory, *this),
+      handledFieldBytes_(std::make_shared<std::size_t>(0)), readProgress_(Clock::now())
+{
+    Error failure; // a connection that has ended already shows at the first read
+    const auto remote = socket_.remote_endpoint(failure);
+    if (!failure)
+        peer_ = remote.address().to_string() + ":" + std::to_string(remote.port());
+    addressShare_ = shares.add(remote.address());
+}
 
 void CallerSession::start()
 {
     Error failure; // an option that cannot be set only costs speed
     socket_.set_option(Tcp::no_delay(true), failure);
     socket_.non_blocking(true, failure);
-    if (const auto remote = socket_.remote_endpoint(failure); !failure)
-        peer_ = remote.address().to_string() + ":" + std::to_string(remote.port());
     newParser();
+    if (!chargeReading())
+        return close();
     setReadTimer(environment_->limits().idleTimeout);
     read();
 }
@@ -57,14 +109,22 @@
     parser_->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     parser_->body_limit(limits.maxBodyBytes);
     headerStarted_ = false;
+    fieldBytes_ = 0;
+    importance_ = 0;
 }
 
 void CallerSession::read()
 {
     if (reading_ || callerClosed_ || state_ == State::Closed)
         return;
-    if (state_ == State::Open && (held_ || !takesMore_) && buffer_.size() >= maxPipelinedBytes)
+    const bool tight = !takesMore_ || environment_->guards.memory->isTight(MemoryPart::Requests);
+    if (state_ == State::Open && (held_ || !takesMore_)
+        && buffer_.size() >= (tight ? maxTightPipelinedBytes : maxPipelinedBytes)) {
+        Error ignored; // an option that cannot be set only costs memory
+        if (!std::exchange(boundsReceiving_, true))
+            socket_.set_option(net::socket_base::receive_buffer_size(pausedReceiveBytes), ignored);
         return;
+    }
     reading_ = true;
     // The buffer may be consumed while the wait is outstanding, so its memory is not given away.
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](const Error &failure) {
@@ -87,13 +147,27 @@
         return abandon();
     }
     buffer_.commit(bytes);
+    unmarkedBytes_ += bytes;
+    if (unmarkedBytes_ >= progressBytes || !headerStarted_) {
+        unmarkedBytes_ = 0;
+        readProgress_ = Clock::now();
+    }
     if (state_ == State::Lingering)
         buffer_.consume(buffer_.size());
     else
         consume();
+    if (state_ == State::Open && !chargeReading())
+        giveWay(MemoryPart::Requests);
     read();
 }
 
+// Charges for what reading holds. Returns false if there is no room for it.
+bool CallerSession::chargeReading()
+{
+    return account_.resize(MemoryPart::Requests,
+                           connectionBytes + buffer_.capacity() + fieldBytes_);
+}
+
 void CallerSession::consume()
 {
     while (state_ == State::Open && takesMore_ && !held_ && buffer_.size() > 0) {
@@ -120,14 +194,29 @@
                        : http::status::bad_request);
         return false;
     }
+    const bool hasHeader = parser_->is_header_done();
+    if (hasHeader && !hadHeader) {
+        fieldBytes_ = storedFieldBytes(parser_->get());
+        if (!chargeReading()) {
+            refuseForRoom();
+            return false;
+        }
+        if (!parser_->is_done() && !checkHead())
+            return false;
+    }
+    if (hasHeader
+        && !account_.resize(MemoryPart::Bodies, bodyCharge * parser_->get().body().size())) {
+        refuseForRoom();
+        return false;
+    }
     if (parser_->is_done()) {
         readTimer_.cancel();
-        held_ = {std::make_shared<const HttpRequestMessage>(parser_->release()), Clock::now()};
+        held_ = {takeRequest(), Clock::now()};
         newParser();
         startHeld();
         return true;
     }
-    if (parser_->is_header_done()) {
+    if (hasHeader) {
         setReadTimer(environment_->limits().idleTimeout);
         if (!hadHeader && parser_->get()[http::field::expect] == "100-continue") {
             interimDue_ = true;
@@ -136,7 +225,7 @@
     }
     if (used > 0)
         return true;
-    if (parser_->is_header_done()) { // the parser itself bounds the head
+    if (hasHeader) { // the parser itself bounds the head
         const auto unparsed = buffer_.data();
         const auto excess =
                 chunkFramingExcess({static_cast<const char *>(unparsed.data()), unparsed.size()});
@@ -157,19 +246,86 @@
     net::write(socket_, net::buffer(interim), ignored);
 }
 
+// Returns false if the request is refused for its head.
+bool CallerSession::checkHead()
+{
+    if (!environment_->guards.checkHead)
+        return true;
+    HeadVerdict verdict = environment_->guards.checkHead(parser_->get());
+    importance_ = verdict.importance;
+    if (verdict.refusal)
+        refuse(std::move(*verdict.refusal));
+    return !verdict.refusal;
+}
+
+// Takes the complete request from the parser. Its memory is charged until nobody uses it.
+std::shared_ptr<const HttpRequestMessage> CallerSession::takeRequest()
+{
+    auto charged = std::make_shared<ChargedRequest>(parser_->release(), environment_->guards.memory,
+                                                    fieldBytes_);
+    account_.release(MemoryPart::Bodies);
+    *handledFieldBytes_ += fieldBytes_;
+    const HttpRequestMessage *message = &charged->message;
+    return {message,
+            [charged = std::move(charged), total = handledFieldBytes_,
+             bytes = fieldBytes_](const HttpRequestMessage *) { *total -= bytes; }};
+}
+
 void CallerSession::refuse(http::status status)
+{
+    if (environment_->onRefused)
+        environment_->onRefused(peer_, status);
+    refuse(HttpResponseMessage(status, 11));
+}
+
+// Answers without reading the rest, behind the answers to the requests before.
+void CallerSession::refuse(HttpResponseMessage refusal)
 {
     readTimer_.cancel();
     takesMore_ = false;
+    headerStarted_ = false;
+    interimDue_ = false;
+    parser_.reset();
+    buffer_ = {};
+    fieldBytes_ = 0;
+    account_.release(MemoryPart::Bodies);
+    setAnswer(pipeline_.add(http::verb::unknown), std::move(refusal));
+}
+
+// The request has not run.
+void CallerSession::refuseForRoom()
+{
     if (environment_->onRefused)
-        environment_->onRefused(peer_, status);
-    pipeline_.setAnswer(pipeline_.add(http::verb::unknown), HttpResponseMessage(status, 11));
+        environment_->onRefused(peer_, http::status::service_unavailable);
+    HttpResponseMessage refusal(http::status::service_unavailable, 11);
+    refusal.set(http::field::retry_after, roomRetryAfter);
+    refuse(std::move(refusal));
+    (void)chargeReading(); // returns what the refusal has freed
+}
+
+void CallerSession::setAnswer(std::uint64_t number, HttpResponseMessage answer)
+{
+    const std::size_t bytes = answer.body().size() + answerOverheadBytes;
+    if (!pipeline_.setAnswer(number, std::move(answer)))
+        return;
+    answerBytes_ += bytes;
     writeNext();
+    if (!account_.resize(MemoryPart::Answers, answerBytes_))
+        giveWay(MemoryPart::Answers);
+}
+
+bool CallerSession::mayStartHeld() const
+{
+    if (!pipeline_.mayStart(held_->message->method()))
+        return false;
+    return pipeline_.isEmpty()
+            || (*handledFieldBytes_ <= maxHandledFieldBytes
+                && answerBytes_ <= maxUntakenAnswerBytes);
 }
 
 void CallerSession::startHeld()
 {
-    if (!held_ || !pipeline_.mayStart(held_->message->method()))
+    if (!held_ || !mayStartHeld())
         return;
     // The last answer before ends the connection, and the caller sends the request again.
     if (environment_->isClosing() && !pipeline_.isEmpty())
@@ -183,10 +339,8 @@
     const std::uint64_t number = pipeline_.add(call.request->method());
     const std::weak_ptr<CallerSession> weak = weak_from_this();
     call.answer = [weak, number](HttpResponseMessage response) {
-        if (const auto self = weak.lock()) {
-            self->pipeline_.setAnswer(number, std::move(response));
-            self->writeNext();
-        }
+        if (const auto self = weak.lock())
+            self->setAnswer(number, std::move(response));
     };
     call.onGone = [weak, number](std::function<void()> gone) {
         if (const auto self = weak.lock())
@@ -209,6 +363,7 @@
     if (answer->payload_size() == boost::none || *answer->payload_size() == 0)
         answer->content_length(0);
     writing_ = std::make_shared<HttpResponseMessage>(std::move(*answer));
+    writeStart_ = Clock::now();
     setWriteTimer(writeLimit);
     http::async_write(socket_, *writing_,
                       [self = shared_from_this(), keep = writing_, close](const Error &failure,
@@ -219,10 +374,13 @@
 
 void CallerSession::onWritten(const Error &failure, bool close)
 {
+    const std::size_t written = writing_ ? writing_->body().size() + answerOverheadBytes : 0;
     writing_ = nullptr;
     writeTimer_.cancel();
     if (state_ != State::Open)
         return;
+    answerBytes_ -= std::min(written, answerBytes_);
+    (void)account_.resize(MemoryPart::Answers, answerBytes_); // does not grow
     if (failure || callerClosed_)
         return abandon();
     if (close)
@@ -236,11 +394,76 @@
     if (pipeline_.isEmpty() && !writing_ && !held_ && !headerStarted_) {
         if (environment_->isClosing() && !hasUnreadBytes(socket_))
             return linger();
+        if (buffer_.size() == 0)
+            buffer_ = {}; // an idle connection holds no buffer
         setReadTimer(environment_->limits().idleTimeout);
     }
+    if (!chargeReading())
+        giveWay(MemoryPart::Requests);
     read();
 }
 
+CallerStage CallerSession::stage() const
+{
+    if (headerStarted_)
+        return parser_->is_header_done() ? CallerStage::Body : CallerStage::Head;
+    if (pipeline_.hasOpenCalls() || held_)
+        return CallerStage::Handled;
+    if (state_ == State::Lingering || !takesMore_)
+        return CallerStage::Ending;
+    return pipeline_.isEmpty() && !writing_ ? CallerStage::Idle : CallerStage::Handled;
+}
+
+CallerStanding CallerSession::standing(MemoryPart part) const
+{
+    const bool answering = part == MemoryPart::Answers && writing_;
+    return {stage(), importance_, answering ? writeStart_ : readProgress_,
+            pipeline_.hasOpenCalls()};
+}
+
+// Requests that are handled go on; only their answers are lost with the connection.
+bool CallerSession::giveWay(MemoryPart part)
+{
+    const auto self = shared_from_this(); // an end drops the listener's reference
+    const CallerStage now = stage();
+    if (part == MemoryPart::Answers || now == CallerStage::Ending) {
+        (void)pipeline_.abandon();
+        close();
+        return true;
+    }
+    if (now == CallerStage::Head || now == CallerStage::Body) {
+        refuseForRoom();
+        return true;
+    }
+    if (now == CallerStage::Handled || hasUnreadBytes(socket_))
+        return false;
+    close();
+    return true;
+}
+
+CallerPlace CallerSession::place() const
+{
+    return {standing(MemoryPart::Requests), addressShare_ ? *addressShare_ : 0};
+}
+
+bool CallerSession::yieldPlace()
+{
+    const CallerStage now = stage();
+    if (now == CallerStage::Idle && hasUnreadBytes(socket_))
+        return false;
+    if (now == CallerStage::Head || now == CallerStage::Body) {
+        if (environment_->onRefused)
+            environment_->onRefused(peer_, http::status::service_unavailable);
+        const std::string refusal = std::string("HTTP/1.1 503 Service Unavailable\r\nRetry-After: ")
+                + roomRetryAfter + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+        Error ignored; // a caller that takes nothing gets no refusal
+        socket_.write_some(net::buffer(refusal), ignored);
+    }
+    (void)pipeline_.abandon();
+    close();
+    return true;
+}
+
 void CallerSession::closeIfIdle()
 {
     if (state_ == State::Open && pipeline_.isEmpty() && !writing_ && !held_ && !headerStarted_
@@ -266,7 +489,9 @@
     readTimer_.cancel();
     Error ignored; // the caller may have closed already
     socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-    buffer_.consume(buffer_.size());
+    parser_.reset();
+    headerStarted_ = false;
+    buffer_ = {};
     setWriteTimer(lingerTime);
     read();
 }
@@ -280,6 +505,13 @@
     writeTimer_.cancel();
     Error ignored; // the socket is given up in any case
     socket_.close(ignored);
+    held_.reset();
+    parser_.reset();
+    headerStarted_ = false;
+    buffer_ = {};
+    addressShare_.reset();
+    for (const auto part : {MemoryPart::Requests, MemoryPart::Bodies, MemoryPart::Answers})
+        account_.release(part);
     environment_->onClosed(shared_from_this());
 }
 
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "chestnutvane/connection/framing_limits.h"
+#include "chestnutvane/process/gateway/limits/descriptor_plan.h"
 #include "chestnutvane/process/log.h"
 
 namespace chestnutvane {
@@ -41,12 +42,22 @@
             settings.coreShare};
 }
 
+// Callers may hold a part of the machine's memory.
+std::shared_ptr<CallerMemory> makeCallerMemory(const GatewaySettings &settings)
+{
+    constexpr unsigned megabyteBits = 20;
+    const std::size_t megabytes =
+            settings.memoryLimitMb == 0 ? defaultMemoryLimitMb : settings.memoryLimitMb;
+    return std::make_shared<CallerMemory>(callerMemoryLimits(megabytes << megabyteBits));
+}
+
 } // namespace
 
 GatewayProcess::GatewayProcess(net::io_context &io, const GatewaySettings &settings,
                                GatewayPlatform platform, HttpClient &client)
     : io_(io), settings_(settings), platform_(std::move(platform)), client_(client),
-      self_(identityOf(settings_)), gateway_(io, settings_, metrics_),
+      self_(identityOf(settings_)), callerMemory_(makeCallerMemory(settings_)),
+      gateway_(io, settings_, metrics_),
       feed_(io, platform_.store, platform_.format, self_, feedCallbacks()),
       learnedStatePersister_(io, platform_.store, platform_.format.learnedPrefix,
                              settings_.regionOf(settings_.zone), learnedStateCallbacks()),
@@ -87,20 +98,12 @@
             [this](const LoadReport &report) { feed_.onPeerReport(report); });
     const auto open = [this](std::string_view port, std::shared_ptr<CallerListener> &listener,
                              const std::string &endpoint, const CallHandler &handler,
-                             const std::function<CallerConnectionLimits()> &limits)
-            -> std::optional<ListenError> {
-        const auto onRefused = [this, port](const std::string &peer, http::status status) {
-            logEvent(Event::RequestRefused,
-                     {{"caller", peer},
-                      {"port", port},
-                      {"status", static_cast<int>(status)},
-                      {"reason", "unreadable"},
-                      {"outcome", "not-run"}});
-            metrics_.increment("vane_gateway_unreadable_requests_total",
-                               {{"port", std::string(port)},
-                                {"status", std::to_string(static_cast<int>(status))}});
+                             const std::function<CallerConnectionLimits()> &limits,
+                             const CallerGuards &guards) -> std::optional<ListenError> {
+        const auto onRefused = [this, port](const std::string &caller, http::status status) {
+            countRefusal(port, caller, status);
         };
-        auto opened = CallerListener::create(io_, endpoint, handler, limits, onRefused);
+        auto opened = CallerListener::create(io_, endpoint, handler, limits, onRefused, guards);
         if (!isOk(opened))
             return error(opened);
         listener = value(std::move(opened));
@@ -118,21 +121,79 @@
         return CallerConnectionLimits{limits.maxHeaderBytes, limits.maxBodyBytes,
                                       limits.headerTimeout, limits.idleTimeout};
     };
+    const DescriptorPlan plan = descriptorPlan(usableDescriptors(settings_.descriptorLimit));
+    CallerGuards callerGuards = guardsOf("callers", plan.callers);
+    callerGuards.checkHead = [this](const HttpRequestMessage &head) { return checkHead(head); };
     if (auto failure = open(
                 "callers", callerListener_, settings_.callerAddress,
-                [this](Call call) { gateway_.handle(std::move(call)); }, callerLimits))
+                [this](Call call) { gateway_.handle(std::move(call)); }, callerLimits,
+                callerGuards))
         return failure;
     if (auto failure = open(
                 "readiness", readinessListener_, settings_.readinessAddress,
-                [this](Call call) { answerReadiness(std::move(call)); }, withoutBodies))
+                [this](Call call) { answerReadiness(std::move(call)); }, withoutBodies,
+                guardsOf("readiness", plan.readiness)))
         return failure;
     if (auto failure = open(
                 "directory", directoryListener_, settings_.directoryAddress,
-                [this](Call call) { answerDirectory(std::move(call)); }, withoutBodies))
+                [this](Call call) { answerDirectory(std::move(call)); }, withoutBodies,
+                guardsOf("directory", plan.directory)))
         return failure;
     return open(
             "metrics", metricsListener_, settings_.metricsAddress,
-            [this](Call call) { answerMetrics(std::move(call)); }, withoutBodies);
+            [this](Call call) { answerMetrics(std::move(call)); }, withoutBodies,
+            guardsOf("metrics", plan.metrics));
+}
+
+CallerGuards GatewayProcess::guardsOf(std::string_view port, std::size_t maxConnections) const
+{
+    CallerGuards guards;
+    guards.memory = callerMemory_;
+    guards.maxConnections = maxConnections;
+    guards.onAcceptFailed = [port](const std::string &detail) {
+        logEvent(Event::AcceptFailed, {{"port", port}, {"reason", detail}});
+    };
+    return guards;
+}
+
+// Refuses a path without a route before its body is held.
+HeadVerdict GatewayProcess::checkHead(const HttpRequestMessage &head) const
+{
+    const auto view = [](boost::beast::string_view text) {
+        return std::string_view(text.data(), text.size());
+    };
+    HeadVerdict verdict;
+    if (!gateway_.routes())
+        return verdict;
+    if (const Route *route =
+                gateway_.routes()->find(view(head[http::field::host]), view(head.target()))) {
+        verdict.importance = route->importance;
+        return verdict;
+    }
+    verdict.refusal.emplace(http::status::not_found, 11);
+    const std::string id(head[settings_.headers.requestId]);
+    if (!id.empty())
+        verdict.refusal->set(settings_.headers.requestId, id);
+    logEvent(Event::RequestRefused, {{"request", id}, {"status", 404}, {"reason", "no-route"}});
+    return verdict;
+}
+
+void GatewayProcess::countRefusal(std::string_view port, const std::string &caller,
+                                  http::status status)
+{
+    const bool forRoom = status == http::status::service_unavailable;
+    logEvent(Event::RequestRefused,
+             {{"caller", caller},
+              {"port", port},
+              {"status", static_cast<int>(status)},
+              {"reason", forRoom ? "caller-limit" : "unreadable"},
+              {"outcome", "not-run"}});
+    if (forRoom)
+        return metrics_.increment("vane_gateway_caller_limit_refusals_total",
+                                  {{"port", std::string(port)}});
+    metrics_.increment(
+            "vane_gateway_unreadable_requests_total",
+            {{"port", std::string(port)}, {"status", std::to_string(static_cast<int>(status))}});
 }
 
 FeedCallbacks GatewayProcess::feedCallbacks()
--- a/chestnutvane/process/gateway/gateway_process.h
+++ b/chestnutvane/process/gateway/gateway_process.h
@@ -59,6 +59,9 @@
                    HttpClient &client);
 
     [[nodiscard]] std::optional<ListenError> listen();
+    [[nodiscard]] CallerGuards guardsOf(std::string_view port, std::size_t maxConnections) const;
+    [[nodiscard]] HeadVerdict checkHead(const HttpRequestMessage &head) const;
+    void countRefusal(std::string_view port, const std::string &caller, http::status status);
     [[nodiscard]] bool isReady() const;
     void answerReadiness(Call call) const;
     void answerDirectory(Call call);
@@ -84,6 +87,7 @@
     GatewayPlatform platform_;
     HttpClient &client_;
     PeerIdentity self_;
+    std::shared_ptr<CallerMemory> callerMemory_; // of all listeners
     Metrics metrics_;
     Gateway gateway_;
     StoreFeed feed_;
--- a/chestnutvane/process/gateway/gateway_settings.cc
+++ b/chestnutvane/process/gateway/gateway_settings.cc
@@ -98,6 +98,8 @@
     constexpr double maxSeconds = 600;
     constexpr double maxCount = 100000;
     constexpr double minCoreShare = 0.001;
+    constexpr double maxMemoryMb = 16777216; // 16 TB
+    constexpr double maxDescriptors = 16777216;
     return {
             {"instance-id", "", "name of this instance, unique in the fleet",
              textSetter(&S::instanceId)},
@@ -137,6 +139,14 @@
              numberSetter(
                      1, maxCount,
                      [](S &s, double v) { s.assumedWarmCapacity = static_cast<std::size_t>(v); })},
+            {"memory-limit-mb", "0",
+             "memory of the machine in MB, four tenths of it for callers; 0: 256",
+             numberSetter(0, maxMemoryMb,
+                          [](S &s, double v) { s.memoryLimitMb = static_cast<std::size_t>(v); })},
+            {"descriptor-limit", "0",
+             "open descriptors, 200 of them for files; 0: the limit that the system sets",
+             numberSetter(0, maxDescriptors,
+                          [](S &s, double v) { s.descriptorLimit = static_cast<std::size_t>(v); })},
             {"log-level", "info", "lowest level that is logged", setLogLevel},
     };
 }
--- a/chestnutvane/process/gateway/gateway_settings.h
+++ b/chestnutvane/process/gateway/gateway_settings.h
@@ -23,6 +23,9 @@
 
 namespace chestnutvane {
 
+// Memory that an instance is assumed to have if no setting says it.
+inline constexpr std::size_t defaultMemoryLimitMb = 256;
+
 struct GatewaySettings
 {
     std::string instanceId;
@@ -42,6 +45,8 @@
     double coldOvershoot = 1.5;
     double coldSlack = 5;
     std::size_t assumedWarmCapacity = 36; // initial estimate of the objects that a target holds
+    std::size_t memoryLimitMb = 0; // of the machine; 0: defaultMemoryLimitMb
+    std::size_t descriptorLimit = 0; // of this process; 0: the limit that the system sets
     std::string logLevel = "info";
     HeaderNames headers;
 
