Return the memory of freed bodies to the system

Cause: after the first large block was freed, the allocator served bodies from its heap, and a heap with holes does not shrink: 400 callers short of the end of a body of 1 MB took 61 MB at 112 MB of memory, though 12 MB of bodies were held at once.

Change: blocks of 256 KB and more always come from the system and return to it; 2 MB at the end of the heap are kept.

--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "chestnutvane/connection/framing_limits.h"
+#include "chestnutvane/process/gateway/limits/allocator_limits.h"
 #include "chestnutvane/process/gateway/limits/descriptor_plan.h"
 #include "chestnutvane/process/log.h"
 
@@ -68,6 +69,7 @@
 GatewayProcess::create(net::io_context &io, const GatewaySettings &settings,
                        GatewayPlatform platform, HttpClient &client)
 {
+    returnLargeBlocks();
     std::unique_ptr<GatewayProcess> process(
             new GatewayProcess(io, settings, std::move(platform), client));
     if (auto failure = process->listen())
