Join quotas, fair admission, placing by work, the store's era and caller limits

Change: gateway_quota.cc charges the quota of a team at arrival, answers 429 with its Retry-After and gives the charge back if no target ran the request. Optional parts of a report are a map with short names (fleet/report_parts). The importance of a request is bound at arrival, its team and homes follow the newest revision. refuseHead() refuses a request without a route or without a key of a team before its body is held.

--- a/chestnutvane/process/gateway/crowded_gateway.h
+++ b/chestnutvane/process/gateway/crowded_gateway.h
@@ -21,8 +21,12 @@
 class CrowdedGateway
 {
 public:
-    explicit CrowdedGateway(std::size_t targets) : gateway(io, settings_, metrics)
+    // The last two are the settings of these names.
+    explicit CrowdedGateway(std::size_t targets, int targetQueue = 0,
+                            WorkModelMode workModel = WorkModelMode::Auto)
+        : settings_(makeSettings(targetQueue)), gateway(io, settings_, metrics)
     {
+        settings_.workModel = workModel;
         std::vector<TargetEntry> entries(targets);
         for (std::size_t i = 0; i < targets; ++i) {
             entries[i].id = "t" + std::to_string(i);
@@ -122,13 +126,17 @@
         gateway.fleet().merge(std::move(load), Clock::now());
     }
 
-    GatewaySettings settings_ = [] {
+    static GatewaySettings makeSettings(int targetQueue)
+    {
         GatewaySettings settings;
         settings.instanceId = "i1";
         settings.zone = "near";
         settings.zoneRegions = {{"near", "here"}, {"far", "there"}};
+        settings.targetQueue = targetQueue;
         return settings;
-    }();
+    }
+
+    GatewaySettings settings_;
     std::uint64_t sequence_ = 0;
 
 public:
--- a/chestnutvane/process/gateway/fleet/load_report.cc
+++ b/chestnutvane/process/gateway/fleet/load_report.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "chestnutvane/process/gateway/fleet/report_parts.h"
+
 namespace chestnutvane {
 namespace {
 
@@ -81,10 +83,14 @@
                              report.targetsFeed.age.count(), report.operatorFeed.fingerprint,
                              report.operatorFeed.age.count()});
     // Optional fields come last, as older instances ignore trailing fields that they do not know.
-    if (!report.feedChange.empty() || !report.crashCounts.empty())
+    const Json parts = encodeParts(report);
+    const bool hasCrashCounts = !report.crashCounts.empty();
+    if (!report.feedChange.empty() || hasCrashCounts || !parts.empty())
         list.push_back(Json::binary({report.feedChange.begin(), report.feedChange.end()}));
-    if (!report.crashCounts.empty())
+    if (hasCrashCounts || !parts.empty())
         list.push_back(encodeCrashCounts(report.crashCounts));
+    if (!parts.empty())
+        list.push_back(parts);
     std::string text;
     Json::to_cbor(list, text);
     return text;
@@ -126,6 +132,8 @@
         }
         if (list.size() > changeAt + 1)
             report.crashCounts = decodeCrashCounts(list.at(changeAt + 1));
+        if (list.size() > changeAt + 2)
+            decodeParts(list.at(changeAt + 2), report);
         return report;
     } catch (const Json::exception &failure) {
         return ReportError{failure.what()};
--- a/chestnutvane/process/gateway/fleet/load_report_test.cc
+++ b/chestnutvane/process/gateway/fleet/load_report_test.cc
@@ -20,13 +20,17 @@
     result.state = PeerState::Serving;
     result.sequence = sequence;
     result.revision = 3;
-    result.targetsFeed = {11, Milliseconds(120)};
-    result.operatorFeed = {12, Milliseconds(340)};
+    result.targetsFeed = {11, Milliseconds(120), 4};
+    result.operatorFeed = {12, Milliseconds(340), 3};
     result.inFlight = std::move(inFlight);
     result.queued = {{5, 2}};
     result.warmObjects = {{1, 100}, {2, 200}};
     result.feedChange = std::string("\xff\x00\x01", 3);
     result.crashCounts = {{{1, 2}, "taipei", 77, 3, 1, Milliseconds(1500), 1}};
+    result.quotaHeard = 3;
+    result.quotaUsage = {{.team = 5, .episode = 2, .admitted = 40, .demandPerSecond = 2.25}};
+    result.teamUses = {{4'000'000'000, 900, 300}, {7, 20, 30}};
+    result.statedSpeeds = {{7, 250, Milliseconds(40)}, {0xffffffff, 100, Milliseconds(0)}};
     return result;
 }
 
@@ -49,6 +53,46 @@
     EXPECT_EQ(value(received), sent);
 }
 
+// Guards against an optional part that is lost, or read as another field, where the others are
+// empty.
+TEST(LoadReportTest, AReportMayHoldAnyOptionalPartAlone)
+{
+    const LoadReport full = report("a", 9, {});
+    LoadReport bare = full;
+    bare.feedChange.clear();
+    bare.crashCounts.clear();
+    bare.quotaUsage.clear();
+    bare.quotaHeard = 0;
+    bare.teamUses.clear();
+    bare.statedSpeeds.clear();
+    std::vector<LoadReport> reports(6, bare);
+    reports[1].quotaUsage = full.quotaUsage;
+    reports[2].teamUses = full.teamUses;
+    reports[3].statedSpeeds = full.statedSpeeds;
+    reports[5].quotaHeard = 4;
+    reports[4].targetsFeed.era = 7;
+    reports[4].operatorFeed.era = 8;
+    for (const LoadReport &sent : reports) {
+        const auto received = decodeReport(encodeReport(sent));
+        ASSERT_TRUE(isOk(received));
+        EXPECT_EQ(value(received), sent);
+    }
+}
+
+// Guards against a report that grows with the fleet.
+TEST(LoadReportTest, StatedSpeedsAreBounded)
+{
+    LoadReport sent = report("a", 9, {});
+    const std::size_t bare = encodeReport(sent).size();
+    sent.statedSpeeds.assign(maxReportedSpeeds, {0xffffffff, 250, Milliseconds(290)});
+    constexpr std::size_t bytesPerSpeed = 11;
+    EXPECT_LE(encodeReport(sent).size(), bare + maxReportedSpeeds * bytesPerSpeed);
+    sent.statedSpeeds.resize(1000, {1, 250, Milliseconds(290)});
+    const auto received = decodeReport(encodeReport(sent));
+    ASSERT_TRUE(isOk(received));
+    EXPECT_EQ(value(received).statedSpeeds.size(), maxReportedSpeeds);
+}
+
 // Guards against crash counts that make a report too large for one datagram of an Ethernet frame.
 TEST(LoadReportTest, AReportWithAllItsCrashCountsFitsIntoADatagram)
 {
--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -281,9 +281,15 @@
         onFeedReport_(loadReport);
     const PeerIdentity sender = loadReport.sender;
     const auto warmObjects = loadReport.warmObjects;
+    const auto teamUses = loadReport.teamUses;
     gateway_.applyWarmObjects(warmObjects);
     gateway_.applyCrashCounts(loadReport.crashCounts);
+    const auto quotaUsage = loadReport.quotaUsage;
+    const int quotaHeard = loadReport.quotaHeard;
+    gateway_.applyStatedSpeeds(loadReport.statedSpeeds);
     if (gateway_.fleet().merge(std::move(loadReport), now)) {
+        gateway_.applyQuotaUsage(sender, quotaUsage, quotaHeard, transit, now);
+        gateway_.applyTeamUses(sender.incarnation, teamUses);
         addPeer(sender);
         if (isNew) // it does not have this instance's identity yet
             receivers_[sender.id].outbox.identitySentAt = {};
@@ -328,6 +334,7 @@
     round.report.state = state_;
     round.report.sequence = ++sequence_;
     gateway_.fillReport(round.report);
+    gateway_.fillQuotaReport(round.report, Clock::now());
     if (fillFeedStatus_)
         fillFeedStatus_(round.report);
     round.report.feedChange = change;
--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -54,23 +54,26 @@
 Gateway::Gateway(net::io_context &io, const GatewaySettings &settings, Metrics &metrics)
     : io_(io), settings_(settings), metrics_(metrics), region_(settings.regionOf(settings.zone)),
       registry_(settings.zoneRegions), passTimer_(io),
-      crashWatch_(makeCounterId(settings.instanceId), region_), shutdownTimer_(io), pauseTimer_(io)
+      crashWatch_(makeCounterId(settings.instanceId), region_),
+      quotas_(hash64(settings.instanceId, std::random_device{}())), shutdownTimer_(io),
+      pauseTimer_(io)
 { }
 
 void Gateway::handle(Call call)
 {
     const HttpRequestMessage &request = *call.request;
     if (!table_)
-        return answerAtArrival(call, http::status::service_unavailable, "no-configuration",
-                               startupRetryAfter);
+        return call.answer(refusalAtArrival(request, http::status::service_unavailable,
+                                            "no-configuration", startupRetryAfter));
     const Route *route = table_->find(
             std::string_view(request[http::field::host].data(), request[http::field::host].size()),
             std::string_view(request.target().data(), request.target().size()));
     if (route == nullptr)
-        return answerAtArrival(call, http::status::not_found, "no-route", Duration{0});
+        return call.answer(
+                refusalAtArrival(request, http::status::not_found, "no-route", Duration{0}));
     const Access access = accessFor(request, *table_, *route);
     if (!access.isAllowed())
-        return answerDenied(call, access);
+        return call.answer(denial(request, access));
     const auto pending = makePending(std::move(call), *route, access);
     pending->call.onGone([this, pending] { onCallerDisconnected(pending); });
     pending->deadlineTimer.expires_at(pending->deadlineAt + responseMargin);
@@ -78,17 +81,35 @@
         if (!ended && !pending->done)
             onDeadline(pending);
     });
+    if (!chargeQuota(*pending, pending->call.arrival))
+        return refuse(pending, http::status::too_many_requests, "over-quota",
+                      pending->quotaRetryAfter);
     retryLimiterOf(pending->service).onRequest(pending->call.arrival);
     if (isCrashSuspect(*pending))
-        return refuse(pending, "crash-suspect", maxRetryAfter);
+        return refuse(pending, http::status::service_unavailable, "crash-suspect", maxRetryAfter);
     enqueue(pending);
     runPass(pending->service, PassScope::Affected);
 }
 
-void Gateway::answerAtArrival(const Call &call, http::status status, std::string_view reason,
-                              Duration retryAfter) const
+std::optional<HttpResponseMessage> Gateway::refuseHead(const HttpRequestMessage &head,
+                                                       int &importance)
 {
-    const std::string id = headerText(*call.request, settings_.headers.requestId);
+    if (!table_)
+        return std::nullopt;
+    const auto text = [](const auto &view) { return std::string_view(view.data(), view.size()); };
+    const Route *route = table_->find(text(head[http::field::host]), text(head.target()));
+    if (route == nullptr)
+        return refusalAtArrival(head, http::status::not_found, "no-route", Duration{0});
+    const Access access = accessFor(head, *table_, *route);
+    importance = importanceOf(*route, access.team);
+    return access.isAllowed() ? std::nullopt : std::optional(denial(head, access));
+}
+
+HttpResponseMessage Gateway::refusalAtArrival(const HttpRequestMessage &request,
+                                              http::status status, std::string_view reason,
+                                              Duration retryAfter) const
+{
+    const std::string id = headerText(request, settings_.headers.requestId);
     HttpResponseMessage message(status, 11);
     if (!id.empty())
         message.set(settings_.headers.requestId, id);
@@ -96,7 +117,7 @@
         message.set(http::field::retry_after, retryAfterText(retryAfter));
     logEvent(Event::RequestRefused,
              {{"request", id}, {"status", static_cast<int>(status)}, {"reason", reason}});
-    call.answer(std::move(message));
+    return message;
 }
 
 Access Gateway::accessFor(const HttpRequestMessage &request, const RouteTable &table,
@@ -109,18 +130,18 @@
     return accessOf(table, route, credentials, settings_.headers.credentialScheme);
 }
 
-void Gateway::answerDenied(const Call &call, const Access &access)
+HttpResponseMessage Gateway::denial(const HttpRequestMessage &request, const Access &access)
 {
     const auto reason = enumName(accessVerdictNames, access.verdict);
     metrics_.increment("vane_gateway_access_denied_total", {{"reason", std::string(reason)}});
     // A request without a key is judged like one with a wrong key: the newest configuration may
     // have opened its route.
-    const std::string credentials = headerText(*call.request, settings_.headers.credentials);
+    const std::string credentials = headerText(request, settings_.headers.credentials);
     const Milliseconds age = configurationAge_ ? configurationAge_() : Milliseconds{0};
     if (unknownKeys_.judge(credentials, BootClock::now(), age) == KeyJudgement::Wrong)
-        return answerAtArrival(call, http::status::unauthorized, reason, Duration{0});
-    answerAtArrival(call, http::status::service_unavailable, "key-not-known-yet",
-                    confirmationTimeout);
+        return refusalAtArrival(request, http::status::unauthorized, reason, Duration{0});
+    return refusalAtArrival(request, http::status::service_unavailable, "key-not-known-yet",
+                            confirmationTimeout);
 }
 
 void Gateway::setPolicy(PendingRequest &pending, std::shared_ptr<const RouteTable> table,
@@ -129,7 +150,6 @@
     pending.policyTable = std::move(table);
     pending.team = team != nullptr ? team->name : std::string();
     pending.teamKey = team != nullptr ? team->id : 0;
-    pending.importance = importanceOf(route, team);
     pending.homeRegions = homesOf(route, team);
 }
 
@@ -139,6 +159,7 @@
     const HttpRequestMessage &request = *call.request;
     pending->table = table_;
     pending->route = &route;
+    pending->importance = importanceOf(route, access.team);
     setPolicy(*pending, table_, route, access.team);
     pending->service = splits_.next(route);
     pending->id = headerText(request, settings_.headers.requestId);
@@ -160,6 +181,8 @@
     Queue &queue = queues_[pending->service];
     const TimePoint now = Clock::now();
     pending->plannedTarget = 0;
+    if (pending->triedTargets.empty())
+        countArrival(*pending, now);
     const auto position =
             std::find_if(queue.begin(), queue.end(), [&pending, now](const Pending &other) {
                 return queueOrder(*other, now) > queueOrder(*pending, now);
@@ -189,6 +212,7 @@
         releaseSlot(pending);
     } else {
         dequeue(pending);
+        returnQuota(*pending, Clock::now());
     }
     pending->done = true;
     pending->deadlineTimer.cancel();
@@ -211,7 +235,7 @@
         return deliver(pending, std::move(*pending->failureResponse), "target-failed");
     if (pending->runs > 0)
         return answerWithError(pending, http::status::gateway_timeout, "time-limit");
-    refuse(pending, "time-limit", Milliseconds{0});
+    refuse(pending, http::status::service_unavailable, "time-limit", Milliseconds{0});
 }
 
 void Gateway::scheduleFullPasses()
@@ -250,6 +274,7 @@
 
 void Gateway::fillReport(LoadReport &report) const
 {
+    report.teamUses = teamShares_.report(Clock::now());
     report.revision = table_ ? table_->revision() : 0;
     for (const auto &[service, queue] : queues_) {
         if (!queue.empty())
@@ -259,6 +284,7 @@
         if (target->inFlight > 0)
             report.inFlight[hash] = target->inFlight;
     }
+    fillStatedSpeeds(report);
 }
 
 void Gateway::beginShutdown(const ShutdownWindow &window)
@@ -276,11 +302,14 @@
 {
     for (const auto &[hash, target] : registry_.all()) {
         target->runTimeFactor += (1 - target->runTimeFactor) * decayPerTick;
+        target->speed.decay(decayPerTick);
         target->failureRate *= 1 - decayPerTick;
     }
     pool_.expire(Clock::now());
     fleet_.expire(Clock::now());
+    updateQuotaInstances(Clock::now());
     crashWatch_.expire(Clock::now());
+    updateTeamShares(Clock::now());
     metrics_.set("vane_gateway_pending_requests", {}, static_cast<double>(pendingCount_));
     scheduleFullPasses();
 }
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -29,7 +29,10 @@
 
 #include "chestnutvane/connection/caller_connection.h"
 #include "chestnutvane/connection/target_exchange.h"
+#include "chestnutvane/process/gateway/admission/arrival_rates.h"
 #include "chestnutvane/process/gateway/admission/shutdown_admission.h"
+#include "chestnutvane/process/gateway/admission/team_quota.h"
+#include "chestnutvane/process/gateway/admission/team_shares.h"
 #include "chestnutvane/process/gateway/admission/unknown_keys.h"
 #include "chestnutvane/process/gateway/fleet/load_report.h"
 #include "chestnutvane/process/gateway/gateway_settings.h"
@@ -55,12 +58,14 @@
     // Route table of the revision that applies to the request.
     std::shared_ptr<const RouteTable> table;
     const Route *route = nullptr;
+    int importance = 0; // of the team before that of the route; 0 is the most important
     // What the newest revision that has a route for the request says of it; the rest of the route
     // is bound at its arrival.
     std::string team; // the caller's team; empty: none
     std::uint64_t teamKey = 0; // Team::id; 0: none
-    int importance = 0; // 0 is the most important
     std::optional<std::vector<std::string>> homeRegions; // that may serve it; nothing: any
+    std::uint32_t quotaKey = 0; // of the team whose quota was charged; 0: none
+    Duration quotaRetryAfter{0}; // if its team is over the quota
     std::shared_ptr<const RouteTable> policyTable; // the revision of these fields
     std::string service;
     std::string id;
@@ -77,6 +82,7 @@
     std::shared_ptr<TargetExchange> exchange;
     std::shared_ptr<Target> target;
     bool sentWarm = false; // the target was considered warm for the object
+    bool sentAhead = false; // the target was considered to have no free slot
     // Depth of the object in the LRU list of the target when the request was sent, if it was
     // listed.
     std::optional<std::size_t> sentObjectDepth;
@@ -92,6 +98,10 @@
     bool done = false;
 };
 
+// Time reserved before the aim for the way from this instance to the caller: twice the usual
+// transit time.
+inline constexpr Milliseconds callerTransitTime{8};
+
 // Targets of a later tier are candidates only if there is none of an earlier one.
 enum class TargetTier {
     Usable,
@@ -122,8 +132,13 @@
     // Accepts a caller's request.
     void handle(Call call);
 
+    // Decides on a request whose body is not complete. Returns the answer if the request can be
+    // refused without its body; otherwise sets its importance.
+    [[nodiscard]] std::optional<HttpResponseMessage> refuseHead(const HttpRequestMessage &head,
+                                                                int &importance);
+
     // Applies a revision to all requests that arrive from now on.
-    void setRoutes(std::shared_ptr<const RouteTable> table) { table_ = std::move(table); }
+    void setRoutes(std::shared_ptr<const RouteTable> table);
     [[nodiscard]] const std::shared_ptr<const RouteTable> &routes() const { return table_; }
 
     TargetRegistry &registry() { return registry_; }
@@ -150,6 +165,13 @@
         configurationAge_ = std::move(function);
     }
 
+    // Applies what a peer reported of the quotas of teams, and how many instances it hears; `age` is
+    // the time since the report was composed.
+    void applyQuotaUsage(const PeerIdentity &peer, const std::vector<TeamUsage> &usage,
+                         int heardThere, Duration age, TimePoint now);
+    // Sets the quota figures of a report.
+    void fillQuotaReport(LoadReport &report, TimePoint now);
+
     // Call when a target ended without draining: it restarted or is no longer registered.
     void onTargetEnded(const std::string &id) { chargeLostRequests(reportKey(hash64(id))); }
 
@@ -163,6 +185,12 @@
         crashWatch_.merge(counts, Clock::now());
     }
 
+    // Applies the uses of teams of another instance's report.
+    void applyTeamUses(std::uint64_t incarnation, std::span<const TeamUse> uses)
+    {
+        teamShares_.applyReport(incarnation, uses, Clock::now());
+    }
+
     // Sets a function that is called when requests were charged with a crash, so that the other
     // instances hear of it at once.
     void setOnCrashCharged(std::function<void()> function)
@@ -178,7 +206,11 @@
     // targets that have restarted since are left out.
     void restoreLearnedState(const LearnedState &state);
 
-    // Sets the load figures of a report: attempts in flight and waiting requests.
+    // Applies the speeds that targets stated to a peer.
+    void applyStatedSpeeds(std::span<const StatedSpeed> speeds);
+
+    // Sets the load figures of a report: attempts in flight, waiting requests and the speeds that
+    // targets stated.
     void fillReport(LoadReport &report) const;
 
     // Sets a function that is called when the load figures change. Its argument is the warm object
@@ -205,20 +237,51 @@
 
     // Request intake (gateway.cc).
     [[nodiscard]] Pending makePending(Call call, const Route &route, const Access &access);
-    // Answers a request that is not admitted, before it has a place in a queue.
-    void answerAtArrival(const Call &call, http::status status, std::string_view reason,
-                         Duration retryAfter) const;
-    // Answers a request whose key no team holds, or that needs a key and has none.
-    void answerDenied(const Call &call, const Access &access);
+    // Logs the refusal of a request that gets no place in a queue, and returns its answer.
+    [[nodiscard]] HttpResponseMessage refusalAtArrival(const HttpRequestMessage &request,
+                                                       http::status status, std::string_view reason,
+                                                       Duration retryAfter) const;
+    // As above, for a request whose key no team holds, or that needs a key and has none.
+    [[nodiscard]] HttpResponseMessage denial(const HttpRequestMessage &request,
+                                             const Access &access);
     [[nodiscard]] Access accessFor(const HttpRequestMessage &request, const RouteTable &table,
                                    const Route &route) const;
     static void setPolicy(PendingRequest &pending, std::shared_ptr<const RouteTable> table,
                           const Route &route, const Team *team);
+    // Quotas of teams (gateway_quota.cc).
+    //
+    // Charges the quota of the request's team. Returns false if the team is over it.
+    [[nodiscard]] bool chargeQuota(PendingRequest &pending, TimePoint now);
+    // Gives the charge back if no target has run the request.
+    void returnQuota(PendingRequest &pending, TimePoint now);
+    // Updates the number of instances that share quotas, and forgets those that are no longer known.
+    void updateQuotaInstances(TimePoint now);
     void enqueue(const Pending &pending);
     void dequeue(const Pending &pending);
     void onCallerDisconnected(const Pending &pending);
     void onDeadline(const Pending &pending);
 
+    // Turns of waiting requests, and returns of refused callers (gateway_admission.cc).
+    //
+    // Puts the waiting requests of a service in the order of placement. Returns those to place in
+    // this pass; late ones that leave the free slots to others are not among them.
+    [[nodiscard]] Queue orderQueue(const std::string &service,
+                                   const std::vector<TargetSnapshot> &snapshots, TimePoint now);
+    [[nodiscard]] bool isHeld(const PendingRequest &pending, const WorkEstimate &work,
+                              const std::vector<TargetSnapshot> &snapshots, TimePoint now) const;
+    // Whether a request is sent to a target without a free slot, to be queued there.
+    [[nodiscard]] bool isQueuedAtTarget(const PendingRequest &pending, const Candidate &candidate,
+                                        const WorkEstimate &work, TimePoint now) const;
+    // Updates the shares of teams, and the metrics of those above their share.
+    void updateTeamShares(TimePoint now);
+    // Counts a request that arrived.
+    void countArrival(const PendingRequest &pending, TimePoint now);
+    // Returns the Retry-After time of a request that is refused for lack of room.
+    [[nodiscard]] Duration retryAfterForRoom(const PendingRequest &pending,
+                                             const WorkEstimate &work, TimePoint now);
+    // The number of serving instances in this region, this one included.
+    [[nodiscard]] std::size_t instancesInRegion(TimePoint now) const;
+
     // Placement (gateway_placing.cc).
     void schedulePass(const std::string &service, PassScope scope);
     // Runs a placement pass over the waiting requests of a service. With a long queue, a pass of
@@ -284,12 +347,25 @@
     static constexpr Duration maxRetryAfter = Milliseconds(1500);
     // Retry-After time if another attempt may succeed at once.
     static constexpr Duration immediateRetryAfter = Milliseconds(10);
-    void refuse(const Pending &pending, std::string_view reason, Duration retryAfter);
+    // Refuses a request that has not run, with 429 or 503.
+    void refuse(const Pending &pending, http::status status, std::string_view reason,
+                Duration retryAfter);
     void answerWithError(const Pending &pending, http::status status, std::string_view reason);
     void finish(const Pending &pending, HttpResponseMessage message);
     // Counts the result of a request of a team, under a bounded number of labels.
     void countForTeam(const PendingRequest &pending, std::string_view result);
     void notifyLoadChange(const WarmObject *warmObject);
+
+    // Cost of requests and speed of targets (gateway_work.cc).
+    [[nodiscard]] bool isPlacedByWork(const std::string &service) const;
+    // Applies the speed that a target stated with an answer.
+    void hearSpeed(Target &target, const TargetAnswer &answer, TimePoint now);
+    // Learns from a run of a service that is placed by work.
+    void learnWork(const PendingRequest &pending, const TargetAnswer &answer, Duration run,
+                   TimePoint now);
+    // Learns from a run of another service.
+    void learnRunTime(const PendingRequest &pending, Duration run, TimePoint now);
+    void fillStatedSpeeds(LoadReport &report) const;
     RetryLimiter &retryLimiterOf(const std::string &service);
     WarmCapacityEstimator &warmCapacityOf(const std::string &service);
 
@@ -316,6 +392,9 @@
     bool isPassTimerSet_ = false;
     TimePoint earliestFullPass_; // lower limit for scheduleThrottledPasses()
     CrashWatch crashWatch_;
+    TeamShares teamShares_{createdAt_};
+    std::map<std::string, ArrivalRates> arrivalRates_; // by service
+    std::map<std::string, SlidingWindowCounter> refusals_; // for lack of room, by service
     std::map<std::string, RetryLimiter> retryLimiters_;
     std::unordered_map<std::uint64_t, SlidingWindowCounter> coldStartAttempts_; // by target hash
     std::map<std::string, WarmCapacityEstimator> warmCapacities_; // by service
@@ -326,6 +405,9 @@
     std::function<void()> onCrashCharged_;
     std::function<Milliseconds()> configurationAge_;
     UnknownKeys unknownKeys_;
+    TeamQuotas quotas_;
+    bool hasQuotas_ = false;
+    std::map<std::string, std::uint64_t> quotaPeers_; // incarnations by instance id
     std::set<std::string> labelledTeams_; // teams with metrics of their own
     // Outlived by the callbacks of probes, which check it.
     std::shared_ptr<const bool> lifetime_ = std::make_shared<const bool>(true);
@@ -333,6 +415,13 @@
     net::steady_timer shutdownTimer_; // the end of shutdownSendTime
     net::steady_timer pauseTimer_; // the earliest end of a pause that a request waits for
     std::size_t pendingCount_ = 0;
+    std::set<std::string> speedTellingServices_; // whose targets state their speed
+    struct SpeedToReport
+    {
+        int percent = 0;
+        TimePoint statedAt;
+    };
+    std::map<std::uint64_t, SpeedToReport> speedsToReport_; // by target hash
 };
 
 } // namespace chestnutvane
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -29,12 +29,9 @@
 constexpr Milliseconds fullBackOff{50};
 // Back-off for an address of another target; the next list of targets arrives within it.
 constexpr Milliseconds misdirectedBackOff{1500};
-// Weights of one attempt in the moving averages of a target, and limits of a single sample.
+// Weights of one attempt in moving averages.
 constexpr double failureWeight = 0.15;
 constexpr double responseSizeWeight = 0.1;
-constexpr double runTimeFactorWeight = 0.2;
-constexpr double minFactorSample = 0.5;
-constexpr double maxFactorSample = 20;
 // A warm object is reported to the other instances again after capacity / warmReportRenewalDivisor
 // other objects, before they would consider it evicted.
 constexpr std::size_t warmReportRenewalDivisor = 2;
@@ -79,10 +76,12 @@
     const TimePoint now = Clock::now();
     pending->target = target;
     pending->sentWarm = candidate.warm;
+    pending->sentAhead = candidate.load >= candidate.slots;
     pending->sentEstimate = work;
     pending->triedTargets.push_back(target->hash);
     target->receivedRequest = true;
     ++target->inFlight;
+    teamShares_.onSent(pending->teamKey, work.mean, now);
     if (target->coldStartUntil > now) {
         constexpr std::chrono::seconds rateWindow{1};
         coldStartAttempts_.try_emplace(target->hash, rateWindow).first->second.add(now);
@@ -181,6 +180,7 @@
     const TimePoint now = Clock::now();
     Target &target = *pending->target;
     applyTargetWord(*pending, answer, now);
+    hearSpeed(target, answer, now);
     ++pending->arrivals;
     constexpr unsigned firstFailureStatus = 500;
     const unsigned status = answer.message.result_int();
@@ -209,20 +209,10 @@
         pending->failureResponse = std::move(answer.message);
         return retryOrAnswer(pending, "target-failed");
     }
-    const Seconds expected =
-            pending->sentWarm ? pending->sentEstimate.warm : pending->sentEstimate.cold;
-    const bool inColdStart = target.coldStartUntil > now;
-    if (!inColdStart && expected.count() > 0) {
-        const double ratio = std::clamp(Seconds(run) / expected, minFactorSample, maxFactorSample);
-        updateAverage(target.runTimeFactor, ratio, runTimeFactorWeight);
-        constexpr double maxLearningFactor = 1.5; // slower targets would distort the estimate
-        if (target.runTimeFactor < maxLearningFactor) {
-            const bool fast = RunTimeEstimator::isWarmRun(pending->sentEstimate, run);
-            runTimes_.learn(pending->route->name, pending->service, fast, run);
-            if (pending->sentObjectDepth)
-                warmCapacityOf(pending->service).learn(*pending->sentObjectDepth, fast);
-        }
-    }
+    if (isPlacedByWork(pending->service))
+        learnWork(*pending, answer, run, now);
+    else
+        learnRunTime(*pending, run, now);
     const auto bodyBytes = static_cast<double>(answer.message.body().size());
     updateAverage(responseSizes_.try_emplace(pending->route->name, bodyBytes).first->second,
                   bodyBytes, responseSizeWeight);
@@ -401,7 +391,7 @@
     const auto work = runTimes_.estimate(route.name, pending->service, route.aim);
     answerUnserved(pending, reason,
                    pending->refusedWithFreeSlot ? immediateRetryAfter
-                                                : std::min<Duration>(work.mean, maxRetryAfter));
+                                                : retryAfterForRoom(*pending, work, now));
 }
 
 void Gateway::answerUnserved(const Pending &pending, std::string_view reason, Duration retryAfter)
@@ -410,7 +400,7 @@
         return deliver(pending, std::move(*pending->failureResponse), "target-failed");
     if (pending->runs > 0)
         return answerWithError(pending, http::status::bad_gateway, reason);
-    refuse(pending, reason, retryAfter);
+    refuse(pending, http::status::service_unavailable, reason, retryAfter);
 }
 
 void Gateway::deliver(const Pending &pending, HttpResponseMessage message, std::string_view outcome)
@@ -430,9 +420,11 @@
     finish(pending, std::move(message));
 }
 
-void Gateway::refuse(const Pending &pending, std::string_view reason, Duration retryAfter)
+void Gateway::refuse(const Pending &pending, http::status status, std::string_view reason,
+                     Duration retryAfter)
 {
-    HttpResponseMessage message(http::status::service_unavailable, 11);
+    returnQuota(*pending, Clock::now());
+    HttpResponseMessage message(status, 11);
     const auto wait = std::max<Duration>(retryAfter, minRetryAfter);
     message.set(http::field::retry_after, retryAfterText(wait));
     logEvent(Event::RequestRefused,
@@ -486,6 +478,7 @@
               {"outcome", "not-run"},
               {"revision", pending->policyTable->revision()}});
     metrics_.increment("vane_gateway_access_denied_total", {{"reason", "key-revoked"}});
+    returnQuota(*pending, Clock::now());
     finish(pending, HttpResponseMessage(http::status::unauthorized, 11));
 }
 
--- a/chestnutvane/process/gateway/gateway_members.cc
+++ b/chestnutvane/process/gateway/gateway_members.cc
@@ -83,6 +83,7 @@
         if (instance.id != settings_.instanceId && !isHeard(instance.id, now))
             unheardZones_.emplace(instance.id, instance.zone);
     }
+    updateQuotaInstances(now);
 }
 
 bool Gateway::areInstancesKnown(TimePoint now) const
--- a/chestnutvane/process/gateway/gateway_placing.cc
+++ b/chestnutvane/process/gateway/gateway_placing.cc
@@ -12,9 +12,6 @@
 namespace chestnutvane {
 namespace {
 
-// Time reserved before the aim for the way from this instance to the caller: twice the usual
-// transit time.
-constexpr Milliseconds callerTransitTime{8};
 // Run time on a target in its cold start, relative to other targets, until it has been measured.
 constexpr double coldStartFactor = 2;
 // Assumed round trip times before the first connection to a zone.
@@ -23,6 +20,10 @@
 // Weight of the affinity rank among targets that hold the object, relative to other targets.
 constexpr double warmRankWeight = 0.1;
 
+// Requests that may wait at a target for each of its slots, for services that are placed by work. A
+// slot is free again sooner than a report can tell, so that waiting here would leave slots unused.
+constexpr double sendAheadPerSlot = 1;
+
 // Requests at the head of a long queue that every pass covers.
 constexpr std::size_t queueHeadSize = 8;
 
@@ -73,14 +74,8 @@
         return;
     const TimePoint now = Clock::now();
     auto snapshots = snapshotTargets(service, now);
-    // Requests that can no longer meet their aim go last, so that they occupy no slot in which
-    // another request could still meet its aim.
-    std::stable_partition(queue.begin(), queue.end(), [this, now](const Pending &pending) {
-        const auto work =
-                runTimes_.estimate(pending->route->name, pending->service, pending->route->aim);
-        return pending->aimAt - now > work.warm + callerTransitTime;
-    });
-    const Queue waiting = queue;
+    const Queue waiting = orderQueue(service, snapshots, now);
+    const bool placedByWork = isPlacedByWork(service);
     const bool isFullPass =
             scope == PassScope::All || isShortPass(waiting.size(), snapshots.size());
     if (isFullPass) {
@@ -119,9 +114,13 @@
         const double bytes = static_cast<double>(pending->call.request->body().size())
                 + (responseSize == responseSizes_.end() ? 0 : responseSize->second);
         work.bodyKilobytes = bytes / bytesPerKilobyte;
+        if (!placedByWork)
+            work.costs = nullptr; // learned at another service of the route's split
         const PlacementLimits limits{pending->aimAt - now - callerTransitTime,
                                      pending->deadlineAt - now};
-        const Placement placement = place(candidates, work, limits, placementSettings_);
+        const Placement placement =
+                place(candidates, work, limits,
+                      placedByWork ? workPlacementSettings() : placementSettings_);
         pending->expectedResponseTime = placement.expectedResponseTime;
         pending->candidateCount = candidates.size();
         pending->queueSize = waiting.size();
@@ -133,7 +132,9 @@
             answerUnserved(pending, "shutdown", immediateRetryAfter);
             continue;
         }
-        if (placement.action == PlacementAction::Wait) {
+        const bool isSent = placement.action == PlacementAction::Send
+                || isQueuedAtTarget(*pending, candidates[placement.index], work, now);
+        if (!isSent && placement.action == PlacementAction::Wait) {
             TargetSnapshot &chosen = snapshots[indices[placement.index]];
             chosen.shared.queueLength += 1;
             pending->plannedTarget = chosen.target->hash;
@@ -141,11 +142,10 @@
             continue;
         }
         dequeue(pending);
-        if (placement.action == PlacementAction::Refuse) {
+        if (!isSent) {
             answerUnserved(pending, "no-room",
-                           pending->refusedWithFreeSlot
-                                   ? immediateRetryAfter
-                                   : std::min<Duration>(work.mean, maxRetryAfter));
+                           pending->refusedWithFreeSlot ? immediateRetryAfter
+                                                        : retryAfterForRoom(*pending, work, now));
             continue;
         }
         TargetSnapshot &chosen = snapshots[indices[placement.index]];
@@ -167,6 +167,7 @@
     const double peerQueueLength =
             fleet_.queuedFor(hash64(service), region_, settings_.zoneRegions, now)
             / static_cast<double>(std::max<std::ptrdiff_t>(inRegion, 1));
+    const bool placedByWork = isPlacedByWork(service);
     std::vector<TargetSnapshot> snapshots;
     snapshots.reserve(targets.size());
     for (const auto &target : targets) {
@@ -188,7 +189,10 @@
         shared.needsFirstRequest = shouldSendFirstRequest(*target, now);
         shared.slots = target->entry.slots;
         shared.load = target->inFlight + fleet_.inFlightAt(target->hash, now);
-        shared.runTimeFactor = target->runTimeFactor * (inColdStart ? coldStartFactor : 1);
+        const double factor = placedByWork ? target->speed.factorAt(now) : target->runTimeFactor;
+        shared.runTimeFactor = factor * (inColdStart ? coldStartFactor : 1);
+        if (placedByWork)
+            shared.sendAhead = sendAheadPerSlot * shared.slots;
         shared.failureRate = target->failureRate;
         shared.roundTrip = roundTrip(*target);
         shared.sendAllowed = isSendAllowed(service, *target, now);
@@ -277,7 +281,7 @@
         return answerUnserved(pending, "targets-pause", *at - now);
     answerUnserved(pending, "no-target",
                    pending->refusedWithFreeSlot ? immediateRetryAfter
-                                                : std::min<Duration>(work.mean, maxRetryAfter));
+                                                : retryAfterForRoom(*pending, work, now));
 }
 
 // Only the team and the home regions follow the newest revision. Everything else of the route is
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -1,10 +1,13 @@
 #include "chestnutvane/process/gateway/gateway_process.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <random>
 
 #include "chestnutvane/connection/framing_limits.h"
+#include "chestnutvane/process/gateway/limits/allocator_limits.h"
+#include "chestnutvane/process/gateway/limits/descriptor_plan.h"
 #include "chestnutvane/process/log.h"
 
 namespace chestnutvane {
@@ -41,12 +44,22 @@
             settings.coreShare};
 }
 
+// Callers may hold a part of the machine's memory.
+std::shared_ptr<CallerMemory> makeCallerMemory(const GatewaySettings &settings)
+{
+    constexpr unsigned megabyteBits = 20;
+    const std::size_t megabytes =
+            settings.memoryLimitMb == 0 ? defaultMemoryLimitMb : settings.memoryLimitMb;
+    return std::make_shared<CallerMemory>(callerMemoryLimits(megabytes << megabyteBits));
+}
+
 } // namespace
 
 GatewayProcess::GatewayProcess(net::io_context &io, const GatewaySettings &settings,
                                GatewayPlatform platform, HttpClient &client)
     : io_(io), settings_(settings), platform_(std::move(platform)), client_(client),
-      self_(identityOf(settings_)), gateway_(io, settings_, metrics_),
+      self_(identityOf(settings_)), callerMemory_(makeCallerMemory(settings_)),
+      gateway_(io, settings_, metrics_),
       feed_(io, platform_.store, platform_.format, self_, feedCallbacks()),
       learnedStatePersister_(io, platform_.store, platform_.format.learnedPrefix,
                              settings_.regionOf(settings_.zone), learnedStateCallbacks()),
@@ -57,6 +70,7 @@
 GatewayProcess::create(net::io_context &io, const GatewaySettings &settings,
                        GatewayPlatform platform, HttpClient &client)
 {
+    returnLargeBlocks();
     std::unique_ptr<GatewayProcess> process(
             new GatewayProcess(io, settings, std::move(platform), client));
     if (auto failure = process->listen())
@@ -88,20 +102,12 @@
             [this](const LoadReport &report) { feed_.onPeerReport(report); });
     const auto open = [this](std::string_view port, std::shared_ptr<CallerListener> &listener,
                              const std::string &endpoint, const CallHandler &handler,
-                             const std::function<CallerConnectionLimits()> &limits)
-            -> std::optional<ListenError> {
-        const auto onRefused = [this, port](const std::string &peer, http::status status) {
-            logEvent(Event::RequestRefused,
-                     {{"caller", peer},
-                      {"port", port},
-                      {"status", static_cast<int>(status)},
-                      {"reason", "unreadable"},
-                      {"outcome", "not-run"}});
-            metrics_.increment("vane_gateway_unreadable_requests_total",
-                               {{"port", std::string(port)},
-                                {"status", std::to_string(static_cast<int>(status))}});
+                             const std::function<CallerConnectionLimits()> &limits,
+                             const CallerGuards &guards) -> std::optional<ListenError> {
+        const auto onRefused = [this, port](const std::string &caller, http::status status) {
+            countRefusal(port, caller, status);
         };
-        auto opened = CallerListener::create(io_, endpoint, handler, limits, onRefused);
+        auto opened = CallerListener::create(io_, endpoint, handler, limits, onRefused, guards);
         if (!isOk(opened))
             return error(opened);
         listener = value(std::move(opened));
@@ -119,21 +125,65 @@
         return CallerConnectionLimits{limits.maxHeaderBytes, limits.maxBodyBytes,
                                       limits.headerTimeout, limits.idleTimeout};
     };
+    const DescriptorPlan plan = descriptorPlan(usableDescriptors(settings_.descriptorLimit));
+    CallerGuards callerGuards = guardsOf("callers", plan.callers);
+    callerGuards.checkHead = [this](const HttpRequestMessage &head) { return checkHead(head); };
     if (auto failure = open(
                 "callers", callerListener_, settings_.callerAddress,
-                [this](Call call) { gateway_.handle(std::move(call)); }, callerLimits))
+                [this](Call call) { gateway_.handle(std::move(call)); }, callerLimits,
+                callerGuards))
         return failure;
     if (auto failure = open(
                 "readiness", readinessListener_, settings_.readinessAddress,
-                [this](Call call) { answerReadiness(std::move(call)); }, withoutBodies))
+                [this](Call call) { answerReadiness(std::move(call)); }, withoutBodies,
+                guardsOf("readiness", plan.readiness)))
         return failure;
     if (auto failure = open(
                 "directory", directoryListener_, settings_.directoryAddress,
-                [this](Call call) { answerDirectory(std::move(call)); }, withoutBodies))
+                [this](Call call) { answerDirectory(std::move(call)); }, withoutBodies,
+                guardsOf("directory", plan.directory)))
         return failure;
     return open(
             "metrics", metricsListener_, settings_.metricsAddress,
-            [this](Call call) { answerMetrics(std::move(call)); }, withoutBodies);
+            [this](Call call) { answerMetrics(std::move(call)); }, withoutBodies,
+            guardsOf("metrics", plan.metrics));
+}
+
+CallerGuards GatewayProcess::guardsOf(std::string_view port, std::size_t maxConnections) const
+{
+    CallerGuards guards;
+    guards.memory = callerMemory_;
+    guards.maxConnections = maxConnections;
+    guards.onAcceptFailed = [port](const std::string &detail) {
+        logEvent(Event::AcceptFailed, {{"port", port}, {"reason", detail}});
+    };
+    return guards;
+}
+
+// Refuses a path without a route, or a request without a key of a team, before its body is held.
+HeadVerdict GatewayProcess::checkHead(const HttpRequestMessage &head)
+{
+    HeadVerdict verdict;
+    verdict.refusal = gateway_.refuseHead(head, verdict.importance);
+    return verdict;
+}
+
+void GatewayProcess::countRefusal(std::string_view port, const std::string &caller,
+                                  http::status status)
+{
+    const bool forRoom = status == http::status::service_unavailable;
+    logEvent(Event::RequestRefused,
+             {{"caller", caller},
+              {"port", port},
+              {"status", static_cast<int>(status)},
+              {"reason", forRoom ? "caller-limit" : "unreadable"},
+              {"outcome", "not-run"}});
+    if (forRoom)
+        return metrics_.increment("vane_gateway_caller_limit_refusals_total",
+                                  {{"port", std::string(port)}});
+    metrics_.increment(
+            "vane_gateway_unreadable_requests_total",
+            {{"port", std::string(port)}, {"status", std::to_string(static_cast<int>(status))}});
 }
 
 FeedCallbacks GatewayProcess::feedCallbacks()
@@ -173,6 +223,10 @@
         if (feed_.isReader())
             link_->sendFeedChange(change);
     };
+    callbacks.onEraChanged = [this](ContentSource source) {
+        metrics_.increment("vane_gateway_store_era_changes_total",
+                           {{"source", std::string(enumName(contentSourceNames, source))}});
+    };
     callbacks.onContentConfirmed = [this] {
         if (feed_.isReader())
             link_->reportContentRead();
@@ -239,12 +293,13 @@
 // once.
 const std::string &GatewayProcess::packedLists()
 {
-    const std::pair fingerprints(feed_.operatorStatus().fingerprint,
-                                 feed_.targetsStatus().fingerprint);
-    if (fingerprints != packedFingerprints_) {
+    // Contents of two eras may be equal, but their revisions are not comparable.
+    const std::array identity{feed_.operatorStatus().fingerprint, feed_.targetsStatus().fingerprint,
+                              feed_.operatorStatus().era, feed_.targetsStatus().era};
+    if (identity != packedIdentity_) {
         const FeedContent content = feed_.content();
         packedLists_ = packLists(content.operatorKeys.list, content.targets.list);
-        packedFingerprints_ = fingerprints;
+        packedIdentity_ = identity;
     }
     return packedLists_;
 }
--- a/chestnutvane/process/gateway/gateway_process.h
+++ b/chestnutvane/process/gateway/gateway_process.h
@@ -9,6 +9,7 @@
 // Not thread-safe: everything runs on the io_context's single thread.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -59,6 +60,9 @@
                    HttpClient &client);
 
     [[nodiscard]] std::optional<ListenError> listen();
+    [[nodiscard]] CallerGuards guardsOf(std::string_view port, std::size_t maxConnections) const;
+    [[nodiscard]] HeadVerdict checkHead(const HttpRequestMessage &head);
+    void countRefusal(std::string_view port, const std::string &caller, http::status status);
     [[nodiscard]] bool isReady() const;
     void answerReadiness(Call call) const;
     void answerDirectory(Call call);
@@ -84,6 +88,7 @@
     GatewayPlatform platform_;
     HttpClient &client_;
     PeerIdentity self_;
+    std::shared_ptr<CallerMemory> callerMemory_; // of all listeners
     Metrics metrics_;
     Gateway gateway_;
     StoreFeed feed_;
@@ -103,7 +108,7 @@
     std::string lastFeedPeer_; // the peer that was asked last during start-up
     std::string packedLists_; // for the responses to feed requests of peers
     // Fingerprints of the lists in packedLists_.
-    std::pair<std::uint64_t, std::uint64_t> packedFingerprints_;
+    std::array<std::uint64_t, 4> packedIdentity_{}; // fingerprints and eras of the packed lists
     std::optional<TimePoint> stoppingSince_;
     OwnerThread owner_; // the last member, so that it is destroyed first
 };
--- a/chestnutvane/process/gateway/gateway_settings.cc
+++ b/chestnutvane/process/gateway/gateway_settings.cc
@@ -75,6 +75,20 @@
     return enumFromName(logLevelNames, text) ? "" : allEnumNames(logLevelNames);
 }
 
+std::string setAdmission(GatewaySettings &settings, const std::string &text)
+{
+    const auto policy = enumFromName(admissionPolicyNames, text);
+    settings.admission = policy.value_or(settings.admission);
+    return policy ? "" : allEnumNames(admissionPolicyNames);
+}
+
+std::string setWorkModel(GatewaySettings &settings, const std::string &text)
+{
+    const auto mode = enumFromName(workModelModeNames, text);
+    settings.workModel = mode.value_or(settings.workModel);
+    return mode ? "" : allEnumNames(workModelModeNames);
+}
+
 std::string setStoreUrl(GatewaySettings &settings, const std::string &text)
 {
     constexpr std::string_view scheme = "http://";
@@ -98,6 +112,8 @@
     constexpr double maxSeconds = 600;
     constexpr double maxCount = 100000;
     constexpr double minCoreShare = 0.001;
+    constexpr double maxMemoryMb = 16777216; // 16 TB
+    constexpr double maxDescriptors = 16777216;
     return {
             {"instance-id", "", "name of this instance, unique in the fleet",
              textSetter(&S::instanceId)},
@@ -137,6 +153,23 @@
              numberSetter(
                      1, maxCount,
                      [](S &s, double v) { s.assumedWarmCapacity = static_cast<std::size_t>(v); })},
+            {"admission", "by-importance", "how room is divided among requests where it is short",
+             setAdmission},
+            {"target-queue", "0", "requests that a target queues beyond its slots",
+             numberSetter(0, maxCount,
+                          [](S &s, double v) { s.targetQueue = static_cast<int>(v); })},
+            {"work-model", "auto",
+             "placement by the cost of requests and the speed of targets: on, off, or auto for "
+             "services whose targets state their speed",
+             setWorkModel},
+            {"memory-limit-mb", "0",
+             "memory of the machine in MB, four tenths of it for callers; 0: 256",
+             numberSetter(0, maxMemoryMb,
+                          [](S &s, double v) { s.memoryLimitMb = static_cast<std::size_t>(v); })},
+            {"descriptor-limit", "0",
+             "open descriptors, 200 of them for files; 0: the limit that the system sets",
+             numberSetter(0, maxDescriptors,
+                          [](S &s, double v) { s.descriptorLimit = static_cast<std::size_t>(v); })},
             {"log-level", "info", "lowest level that is logged", setLogLevel},
     };
 }
--- a/chestnutvane/process/gateway/gateway_settings.h
+++ b/chestnutvane/process/gateway/gateway_settings.h
@@ -16,6 +16,7 @@
 #include <variant>
 #include <vector>
 
+#include "chestnutvane/base/enum_names.h"
 #include "chestnutvane/base/time.h"
 #include "chestnutvane/connection/header_names.h"
 #include "chestnutvane/process/gateway/limits/send_limits.h"
@@ -23,6 +24,34 @@
 
 namespace chestnutvane {
 
+// Memory that an instance is assumed to have if no setting says it.
+inline constexpr std::size_t defaultMemoryLimitMb = 256;
+
+// How room is divided among requests where it is short.
+enum class AdmissionPolicy {
+    ByImportance, // in-time requests first, then by importance and arrival
+    FairShares, // late requests leave slots to others, and returns of refused callers are spread
+};
+
+inline constexpr EnumName<AdmissionPolicy> admissionPolicyNames[] = {
+        {AdmissionPolicy::ByImportance, "by-importance"},
+        {AdmissionPolicy::FairShares, "fair-shares"},
+};
+
+// For which services requests are placed by what they are likely to cost and by the speed of each
+// target at the moment.
+enum class WorkModelMode {
+    Auto, // those whose targets state their speed
+    On, // all
+    Off,
+};
+
+inline constexpr EnumName<WorkModelMode> workModelModeNames[] = {
+        {WorkModelMode::Auto, "auto"},
+        {WorkModelMode::On, "on"},
+        {WorkModelMode::Off, "off"},
+};
+
 struct GatewaySettings
 {
     std::string instanceId;
@@ -42,6 +71,11 @@
     double coldOvershoot = 1.5;
     double coldSlack = 5;
     std::size_t assumedWarmCapacity = 36; // initial estimate of the objects that a target holds
+    AdmissionPolicy admission = AdmissionPolicy::ByImportance;
+    int targetQueue = 0; // requests that a target queues beyond its slots
+    WorkModelMode workModel = WorkModelMode::Auto;
+    std::size_t memoryLimitMb = 0; // of the machine; 0: defaultMemoryLimitMb
+    std::size_t descriptorLimit = 0; // of this process; 0: the limit that the system sets
     std::string logLevel = "info";
     HeaderNames headers;
 
--- a/chestnutvane/process/gateway/target_registry.h
+++ b/chestnutvane/process/gateway/target_registry.h
@@ -21,6 +21,7 @@
 
 #include "chestnutvane/base/enum_names.h"
 #include "chestnutvane/base/time.h"
+#include "chestnutvane/process/gateway/work/target_speed.h"
 
 namespace chestnutvane {
 
@@ -38,9 +39,10 @@
     std::uint64_t sequence = 0; // increases with each entry of one incarnation
     // Start time in Unix milliseconds; tells incarnations under one id apart. 0: unknown.
     std::int64_t startedAt = 0;
-    // Revision of the store that wrote the entry; tells an older entry from a newer one. 0:
-    // unknown.
+    // Revision of the store that wrote the entry; tells an older entry from a newer one of the same
+    // era. 0: unknown.
     std::uint64_t revision = 0;
+    std::uint64_t era = 0; // of the store when the entry was read
 
     friend bool operator==(const TargetEntry &, const TargetEntry &) = default;
 };
@@ -103,6 +105,8 @@
     std::optional<TimePoint> leavingSince; // when the target first said that it shuts down
     double failureRate = 0; // moving average of failed attempts, 0 to 1
     double runTimeFactor = 1; // moving average of measured run time divided by expected run time
+    TargetSpeed speed; // replaces runTimeFactor for services that are placed by work
+    bool isOddSpeedLogged = false; // it stated a speed that is not plausible
 };
 
 // How replaceAll() treats targets that are missing from the new list.
@@ -143,7 +147,8 @@
 
     // Applies the complete list of entries. Returns the changes. An entry with an older revision
     // than one that was applied before is left out. A target that is missing for a while and comes
-    // back in the same incarnation keeps its state.
+    // back in the same incarnation keeps its state. After a change of the store's era, it comes
+    // back only with an entry that was written later than its last one.
     std::vector<RegistryChange> replaceAll(const std::vector<TargetEntry> &entries, TimePoint now,
                                            RemovalPolicy removals);
 
