--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -165,8 +165,8 @@
         configurationAge_ = std::move(function);
     }
 
-    // Applies what a peer reported of the quotas of teams, and how many instances it hears; `age` is
-    // the time since the report was composed.
+    // Applies what a peer reported of the quotas of teams, and how many instances it hears; `age`
+    // is the time since the report was composed.
     void applyQuotaUsage(const PeerIdentity &peer, const std::vector<TeamUsage> &usage,
                          int heardThere, Duration age, TimePoint now);
     // Sets the quota figures of a report.
@@ -254,7 +254,8 @@
     [[nodiscard]] bool chargeQuota(PendingRequest &pending, TimePoint now);
     // Gives the charge back if no target has run the request.
     void returnQuota(PendingRequest &pending, TimePoint now);
-    // Updates the number of instances that share quotas, and forgets those that are no longer known.
+    // Updates the number of instances that share quotas, and forgets those that are no longer
+    // known.
     void updateQuotaInstances(TimePoint now);
     void enqueue(const Pending &pending);
     void dequeue(const Pending &pending);
