Mend what the review of the joined parts found

Cause, each from reading the code: one large handled body made every smaller body give way; a connection could be closed from within its own charge and go on using its parser; a refusal could land in an answer that was being written; an answer to "Connection: close" was cut before idle connections; queued requests of a caller that was given up still ran; a quota debt had no floor; a suspended instance took buffered reports for new ones; a checkout whose caller had left was sent again (GONE); keys could reach targets after a revision without teams; an instance that was cut off took the whole quota after 30 s; all instances listed the store at once 2 s after a change of era; an implausible age of content was believed. Change: each at its place; equal shares are spared by CallerMemory, quotas follow the boot clock, listed instances count until the next list.

--- a/chestnutvane/connection/caller_connection.cc
+++ b/chestnutvane/connection/caller_connection.cc
@@ -47,6 +47,7 @@
     {
         Error ignored; // closing an acceptor that is already closed is no failure
         acceptor_.close(ignored);
+        retryTimer_.cancel();
     }
 
     [[nodiscard]] std::size_t openConnections() const { return sessions_.size(); }
@@ -86,7 +87,6 @@
 void Listener::closeAll()
 {
     stopAccepting();
-    retryTimer_.cancel();
     const auto sessions = sessions_; // an end changes the set
     for (const auto &session : sessions)
         session->close();
@@ -120,12 +120,14 @@
 // Tries again when some descriptors may be free.
 void Listener::onAcceptFailed(const Error &failure)
 {
+    if (!acceptor_.is_open())
+        return;
     constexpr Milliseconds pause{20};
     if (!std::exchange(acceptFails_, true) && environment_.guards.onAcceptFailed)
         environment_.guards.onAcceptFailed(failure.message());
     retryTimer_.expires_after(pause);
     retryTimer_.async_wait([self = shared_from_this()](const Error &ended) {
-        if (!ended)
+        if (!ended && self->acceptor_.is_open())
             self->accept();
     });
 }
--- a/chestnutvane/connection/caller_memory.cc
+++ b/chestnutvane/connection/caller_memory.cc
@@ -56,13 +56,16 @@
     return order(a) < order(b);
 }
 
-// Above the limit a connection may still hold less than an equal share. The largest one may hold
-// any amount while all others leave half of the part free, so that a single request inside the
-// limits of its size is served however small the machine is.
+// Above the limit a connection may still hold an equal share. The largest one may hold any amount
+// while all others leave half of the part free, so that a single request inside the limits of its
+// size is served however small the machine is.
 bool CallerMemory::makeRoom(MemoryPart part, const CallerAccount &asking)
 {
     std::set<const CallerAccount *> unable;
     while (used(part) > limit(part)) {
+        const auto holders = static_cast<std::size_t>(
+                std::count_if(accounts_.begin(), accounts_.end(),
+                              [part](const auto *account) { return account->bytes(part) > 0; }));
         CallerAccount *first = nullptr;
         CallerStanding firstStanding;
         std::size_t largest = 0;
@@ -70,6 +73,10 @@
             if (account->bytes(part) == 0)
                 continue;
             largest = std::max(largest, account->bytes(part));
+            // Heads take little each, and many of them are what fills their part.
+            if (part != MemoryPart::Requests && account != &asking
+                && account->bytes(part) * holders <= limit(part))
+                continue;
             const CallerStanding standing = account->owner_.standing(part);
             if (!unable.contains(account) && mayGiveWay(standing, part)
                 && (first == nullptr || givesWayBefore(standing, firstStanding))) {
--- a/chestnutvane/connection/caller_memory_test.cc
+++ b/chestnutvane/connection/caller_memory_test.cc
@@ -141,5 +141,19 @@
     EXPECT_GE(sum, machine * 39 / 100);
 }
 
+// Guards against small bodies that are refused because of a large one that is worked on.
+TEST(CallerMemoryTest, ALargeHandledBodyDoesNotCostOthersTheirEqualShare)
+{
+    const auto memory = memoryOf(100);
+    FakeConnection large(memory, CallerStage::Handled, 0);
+    FakeConnection small(memory, CallerStage::Body, 1);
+    FakeConnection current(memory, CallerStage::Body, 2);
+    EXPECT_TRUE(large.account.resize(bodies, 100));
+    EXPECT_TRUE(small.account.resize(bodies, 10));
+    EXPECT_TRUE(current.account.resize(bodies, 10));
+    EXPECT_EQ(small.asked, 0);
+    EXPECT_EQ(current.asked, 0);
+}
+
 } // namespace
 } // namespace chestnutvane
--- a/chestnutvane/connection/caller_session.cc
+++ b/chestnutvane/connection/caller_session.cc
@@ -197,17 +197,25 @@
     const bool hasHeader = parser_->is_header_done();
     if (hasHeader && !hadHeader) {
         fieldBytes_ = storedFieldBytes(parser_->get());
-        if (!chargeReading()) {
+        const bool hasRoom = chargeReading();
+        if (state_ != State::Open)
+            return false; // gave way to another connection meanwhile
+        if (!hasRoom) {
             refuseForRoom();
             return false;
         }
         if (!parser_->is_done() && !checkHead())
             return false;
     }
-    if (hasHeader
-        && !account_.resize(MemoryPart::Bodies, bodyCharge * parser_->get().body().size())) {
-        refuseForRoom();
-        return false;
+    if (hasHeader) {
+        const bool hasRoom =
+                account_.resize(MemoryPart::Bodies, bodyCharge * parser_->get().body().size());
+        if (state_ != State::Open)
+            return false;
+        if (!hasRoom) {
+            refuseForRoom();
+            return false;
+        }
     }
     if (parser_->is_done()) {
         readTimer_.cancel();
@@ -409,7 +417,7 @@
         return parser_->is_header_done() ? CallerStage::Body : CallerStage::Head;
     if (pipeline_.hasOpenCalls() || held_)
         return CallerStage::Handled;
-    if (state_ == State::Lingering || !takesMore_)
+    if (state_ == State::Lingering || (!takesMore_ && !writing_))
         return CallerStage::Ending;
     return pipeline_.isEmpty() && !writing_ ? CallerStage::Idle : CallerStage::Handled;
 }
@@ -427,7 +435,9 @@
     const auto self = shared_from_this(); // an end drops the listener's reference
     const CallerStage now = stage();
     if (part == MemoryPart::Answers || now == CallerStage::Ending) {
-        (void)pipeline_.abandon();
+        // Posted, as the handler may be what asks for room.
+        for (auto &gone : pipeline_.abandon())
+            net::post(socket_.get_executor(), std::move(gone));
         close();
         return true;
     }
@@ -443,7 +453,10 @@
 
 CallerPlace CallerSession::place() const
 {
-    return {standing(MemoryPart::Requests), addressShare_ ? *addressShare_ : 0};
+    CallerStanding now = standing(MemoryPart::Requests);
+    now.hasOpenCalls =
+            now.hasOpenCalls || writing_ != nullptr; // a refusal would land in the answer
+    return {now, addressShare_ ? *addressShare_ : 0};
 }
 
 bool CallerSession::yieldPlace()
--- a/chestnutvane/process/gateway/admission/team_quota.cc
+++ b/chestnutvane/process/gateway/admission/team_quota.cc
@@ -66,7 +66,7 @@
         }
         update(team, now);
         team.limit = limit;
-        team.level = std::min(team.level, capacity(team));
+        team.level = std::clamp(team.level, -maxDebt(team), capacity(team));
         updateShare(team, now);
     }
 }
@@ -157,6 +157,14 @@
     return std::min(1.0, (heardPeers_ + 1.0) / instances_);
 }
 
+double TeamQuotas::maxDebt(const Team &team)
+{
+    // Overdrafts from before the longest window of a quota no longer count.
+    constexpr double debtSeconds = 5;
+    constexpr double debtRequests = 20;
+    return debtSeconds * team.limit.perSecond + debtRequests;
+}
+
 double TeamQuotas::capacity(const Team &team) const
 {
     const QuotaLimit &limit = team.limit;
--- a/chestnutvane/process/gateway/admission/team_quota.h
+++ b/chestnutvane/process/gateway/admission/team_quota.h
@@ -154,6 +154,8 @@
     // The part of the quota that the instances which are heard may use, in (0, 1].
     [[nodiscard]] double reach() const;
     [[nodiscard]] double capacity(const Team &team) const;
+    // The lowest level, below 0.
+    [[nodiscard]] static double maxDebt(const Team &team);
     [[nodiscard]] static double ownDemand(const Team &team);
     [[nodiscard]] static double demand(const Team &team);
     [[nodiscard]] double ownCapacity(const Team &team) const;
@@ -183,6 +185,7 @@
     int instances_ = 1;
     TimePoint heardThereAt_; // when peers last seemed to hear this instance
     TimePoint calledAt_; // the last call
+    TimePoint wokeAt_; // the end of the last stop of the process
     Duration stopped_{0}; // time in which the process stood still, as nothing accrues then
     TimePoint expiredAt_; // last scan of expirePeers()
     TimePoint mergedAt_; // the last report of any peer
--- a/chestnutvane/process/gateway/admission/team_quota_peers.cc
+++ b/chestnutvane/process/gateway/admission/team_quota_peers.cc
@@ -32,6 +32,10 @@
                        Duration age, TimePoint now)
 {
     expirePeers(now);
+    // Reports that arrived while the process was stopped look newer than they are.
+    constexpr Milliseconds bufferedTime{200};
+    if (wokeAt_ != TimePoint{} && now - wokeAt_ < bufferedTime)
+        return;
     if (age > livenessTimeout || (peers_.size() >= maxPeers && !peers_.contains(incarnation)))
         return;
     Peer &peer = peers_[incarnation];
@@ -130,7 +134,7 @@
     known.demand = usage.demandPerSecond;
     team.peerDemand = std::max(team.peerDemand, 0.0) + known.demand;
     team.level -= known.demand * sinceComposed;
-    team.level = std::min(team.level, capacity(team));
+    team.level = std::clamp(team.level, -maxDebt(team), capacity(team));
     known.reported = usage;
     known.shareSeconds = team.shareSeconds - sinceComposed;
     updateShare(team, now);
@@ -215,8 +219,10 @@
 
 void TeamQuotas::noticeStop(TimePoint now)
 {
-    if (calledAt_ != TimePoint{} && now - calledAt_ > livenessTimeout)
+    if (calledAt_ != TimePoint{} && now - calledAt_ > livenessTimeout) {
         stopped_ += now - calledAt_ - livenessTimeout;
+        wokeAt_ = now;
+    }
     calledAt_ = std::max(calledAt_, now);
 }
 
--- a/chestnutvane/process/gateway/admission/team_quota_test.cc
+++ b/chestnutvane/process/gateway/admission/team_quota_test.cc
@@ -38,6 +38,22 @@
     EXPECT_TRUE(quotas.usageToReport(start).empty());
 }
 
+// Guards against a team that is refused for minutes after its limit fell, because instances that
+// knew of it later had admitted more meanwhile.
+TEST(TeamQuotaTest, ADebtIsPaidBackWithinSeconds)
+{
+    TeamQuotas quotas = quotasWith({5, 5}, 2);
+    quotas.merge(1, std::vector<TeamUsage>{{team, 1, 10, 5}}, 2, 0ms, start);
+    quotas.merge(1, std::vector<TeamUsage>{{team, 1, 100000, 5}}, 2, 0ms, start + 100ms);
+    int admitted = 0;
+    std::uint64_t peerAdmitted = 100000;
+    for (TimePoint now = start + 200ms; now < start + 30s; now += 100ms) {
+        quotas.merge(1, std::vector<TeamUsage>{{team, 1, peerAdmitted, 1}}, 2, 0ms, now);
+        admitted += admittedAt(quotas, 1, now);
+    }
+    EXPECT_GT(admitted, 30);
+}
+
 // Guards against an instance that runs a burst after each restart.
 TEST(TeamQuotaTest, ANewInstanceStartsWithoutBurst)
 {
--- a/chestnutvane/process/gateway/fleet/load_report.cc
+++ b/chestnutvane/process/gateway/fleet/load_report.cc
@@ -61,6 +61,13 @@
     return crashes;
 }
 
+// Ages are those of reads of the store, which an instance that reports has made since its start.
+bool isPlausibleAge(Milliseconds age)
+{
+    constexpr std::chrono::hours maxAge{24 * 365 * 100};
+    return age >= Milliseconds{0} && age <= maxAge;
+}
+
 } // namespace
 
 std::string encodeReport(const LoadReport &report, IdentityPart part)
@@ -125,6 +132,8 @@
             report.warmObjects.push_back({warm.at(i), warm.at(i + 1)});
         report.targetsFeed = {list.at(8), Milliseconds(list.at(9).get<Milliseconds::rep>())};
         report.operatorFeed = {list.at(10), Milliseconds(list.at(11).get<Milliseconds::rep>())};
+        if (!isPlausibleAge(report.targetsFeed.age) || !isPlausibleAge(report.operatorFeed.age))
+            return ReportError{"implausible age of content"};
         constexpr std::size_t changeAt = 12;
         if (list.size() > changeAt) {
             const auto &bytes = list.at(changeAt).get_binary();
--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -288,7 +288,7 @@
     const int quotaHeard = loadReport.quotaHeard;
     gateway_.applyStatedSpeeds(loadReport.statedSpeeds);
     if (gateway_.fleet().merge(std::move(loadReport), now)) {
-        gateway_.applyQuotaUsage(sender, quotaUsage, quotaHeard, transit, now);
+        gateway_.applyQuotaUsage(sender, quotaUsage, quotaHeard, transit);
         gateway_.applyTeamUses(sender.incarnation, teamUses);
         addPeer(sender);
         if (isNew) // it does not have this instance's identity yet
@@ -334,7 +334,7 @@
     round.report.state = state_;
     round.report.sequence = ++sequence_;
     gateway_.fillReport(round.report);
-    gateway_.fillQuotaReport(round.report, Clock::now());
+    gateway_.fillQuotaReport(round.report);
     if (fillFeedStatus_)
         fillFeedStatus_(round.report);
     round.report.feedChange = change;
--- a/chestnutvane/process/gateway/gateway.cc
+++ b/chestnutvane/process/gateway/gateway.cc
@@ -81,7 +81,7 @@
         if (!ended && !pending->done)
             onDeadline(pending);
     });
-    if (!chargeQuota(*pending, pending->call.arrival))
+    if (!chargeQuota(*pending))
         return refuse(pending, http::status::too_many_requests, "over-quota",
                       pending->quotaRetryAfter);
     retryLimiterOf(pending->service).onRequest(pending->call.arrival);
@@ -204,15 +204,18 @@
     const bool running = pending->exchange != nullptr;
     logEvent(Event::RequestEnded,
              {{"request", pending->id}, {"result", "caller-gone"}, {"running", running ? 1 : 0}});
-    // An at-most-once request in flight is not cancelled: the caller wants its effect.
-    if (running && pending->route->repeat != Repeat::Idempotent)
+    // An at-most-once request in flight is not cancelled: the caller wants its effect. It is not
+    // sent again.
+    if (running && pending->route->repeat != Repeat::Idempotent) {
+        pending->callerGone = true;
         return;
+    }
     if (running) {
         pending->exchange->cancel();
         releaseSlot(pending);
     } else {
         dequeue(pending);
-        returnQuota(*pending, Clock::now());
+        returnQuota(*pending);
     }
     pending->done = true;
     pending->deadlineTimer.cancel();
@@ -307,7 +310,7 @@
     }
     pool_.expire(Clock::now());
     fleet_.expire(Clock::now());
-    updateQuotaInstances(Clock::now());
+    updateQuotaInstances();
     crashWatch_.expire(Clock::now());
     updateTeamShares(Clock::now());
     metrics_.set("vane_gateway_pending_requests", {}, static_cast<double>(pendingCount_));
--- a/chestnutvane/process/gateway/gateway.h
+++ b/chestnutvane/process/gateway/gateway.h
@@ -94,6 +94,7 @@
     std::size_t queueSize = 0; // waiting requests of the service in that pass
     std::uint64_t plannedTarget = 0; // hash of the target it waits for; 0: not placed yet
     bool waitLogged = false;
+    bool callerGone = false; // left while an at-most-once attempt was in flight
     net::steady_timer deadlineTimer;
     bool done = false;
 };
@@ -168,9 +169,9 @@
     // Applies what a peer reported of the quotas of teams, and how many instances it hears; `age`
     // is the time since the report was composed.
     void applyQuotaUsage(const PeerIdentity &peer, const std::vector<TeamUsage> &usage,
-                         int heardThere, Duration age, TimePoint now);
+                         int heardThere, Duration age);
     // Sets the quota figures of a report.
-    void fillQuotaReport(LoadReport &report, TimePoint now);
+    void fillQuotaReport(LoadReport &report);
 
     // Call when a target ended without draining: it restarted or is no longer registered.
     void onTargetEnded(const std::string &id) { chargeLostRequests(reportKey(hash64(id))); }
@@ -251,12 +252,12 @@
     // Quotas of teams (gateway_quota.cc).
     //
     // Charges the quota of the request's team. Returns false if the team is over it.
-    [[nodiscard]] bool chargeQuota(PendingRequest &pending, TimePoint now);
+    [[nodiscard]] bool chargeQuota(PendingRequest &pending);
     // Gives the charge back if no target has run the request.
-    void returnQuota(PendingRequest &pending, TimePoint now);
+    void returnQuota(PendingRequest &pending);
     // Updates the number of instances that share quotas, and forgets those that are no longer
     // known.
-    void updateQuotaInstances(TimePoint now);
+    void updateQuotaInstances();
     void enqueue(const Pending &pending);
     void dequeue(const Pending &pending);
     void onCallerDisconnected(const Pending &pending);
@@ -409,6 +410,7 @@
     TeamQuotas quotas_;
     bool hasQuotas_ = false;
     std::map<std::string, std::uint64_t> quotaPeers_; // incarnations by instance id
+    std::set<std::string> listedInstances_; // other instances, as the store last listed them
     std::set<std::string> labelledTeams_; // teams with metrics of their own
     // Outlived by the callbacks of probes, which check it.
     std::shared_ptr<const bool> lifetime_ = std::make_shared<const bool>(true);
--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -138,7 +138,7 @@
     const auto left = std::max<std::int64_t>(toMilliseconds(pending.deadlineAt - now), 1);
     message->set(settings_.headers.deadlineMs, std::to_string(left));
     message->set(settings_.headers.expectedTarget, target.entry.id);
-    if (!pending.policyTable->teams().isEmpty()) {
+    if (!pending.table->teams().isEmpty() || !pending.policyTable->teams().isEmpty()) {
         message->erase(settings_.headers.credentials);
         message->erase(settings_.headers.team);
         if (!pending.team.empty())
@@ -371,7 +371,8 @@
     const bool isRepeatable = pending->runs == 0 || route.repeat == Repeat::Idempotent;
     const bool attemptsLeft = std::max(pending->runs, pending->arrivals) < route.maxAttempts
             && pending->connectFailures < maxConnectFailures;
-    if (isRepeatable && attemptsLeft && now < pending->deadlineAt && !isCrashSuspect(*pending)) {
+    if (!pending->callerGone && isRepeatable && attemptsLeft && now < pending->deadlineAt
+        && !isCrashSuspect(*pending)) {
         const bool needsBudget = pending->arrivals > 0;
         if (!needsBudget || retryLimiterOf(pending->service).tryAcquire(now, instanceCount(now))) {
             metrics_.increment("vane_gateway_retries_total", {{"reason", std::string(reason)}});
@@ -423,7 +424,7 @@
 void Gateway::refuse(const Pending &pending, http::status status, std::string_view reason,
                      Duration retryAfter)
 {
-    returnQuota(*pending, Clock::now());
+    returnQuota(*pending);
     HttpResponseMessage message(status, 11);
     const auto wait = std::max<Duration>(retryAfter, minRetryAfter);
     message.set(http::field::retry_after, retryAfterText(wait));
@@ -478,7 +479,7 @@
               {"outcome", "not-run"},
               {"revision", pending->policyTable->revision()}});
     metrics_.increment("vane_gateway_access_denied_total", {{"reason", "key-revoked"}});
-    returnQuota(*pending, Clock::now());
+    returnQuota(*pending);
     finish(pending, HttpResponseMessage(http::status::unauthorized, 11));
 }
 
--- a/chestnutvane/process/gateway/gateway_members.cc
+++ b/chestnutvane/process/gateway/gateway_members.cc
@@ -79,11 +79,14 @@
     const TimePoint now = Clock::now();
     isInstanceListRead_ = true;
     unheardZones_.clear();
+    listedInstances_.clear();
     for (const PeerIdentity &instance : instances) {
+        if (instance.id != settings_.instanceId)
+            listedInstances_.insert(instance.id);
         if (instance.id != settings_.instanceId && !isHeard(instance.id, now))
             unheardZones_.emplace(instance.id, instance.zone);
     }
-    updateQuotaInstances(now);
+    updateQuotaInstances();
 }
 
 bool Gateway::areInstancesKnown(TimePoint now) const
--- a/chestnutvane/process/gateway/gateway_quota.cc
+++ b/chestnutvane/process/gateway/gateway_quota.cc
@@ -13,6 +13,12 @@
     return static_cast<std::uint32_t>(teamKey);
 }
 
+// Quotas refill also while the process is suspended, which the steady clock does not count.
+TimePoint quotaTime()
+{
+    return TimePoint(std::chrono::duration_cast<Duration>(BootClock::now().time_since_epoch()));
+}
+
 } // namespace
 
 void Gateway::setRoutes(std::shared_ptr<const RouteTable> table)
@@ -24,14 +30,14 @@
             limits[quotaKey(team.id)] = {team.requestsPerSecond, team.burst};
     }
     hasQuotas_ = !limits.empty();
-    quotas_.setLimits(limits, Clock::now());
+    quotas_.setLimits(limits, quotaTime());
 }
 
-bool Gateway::chargeQuota(PendingRequest &pending, TimePoint now)
+bool Gateway::chargeQuota(PendingRequest &pending)
 {
     if (!hasQuotas_ || pending.teamKey == 0)
         return true;
-    const QuotaVerdict verdict = quotas_.admit(quotaKey(pending.teamKey), now);
+    const QuotaVerdict verdict = quotas_.admit(quotaKey(pending.teamKey), quotaTime());
     pending.quotaKey = verdict.isAdmitted && verdict.reason != QuotaReason::NoLimit
             ? quotaKey(pending.teamKey)
             : 0;
@@ -55,17 +61,18 @@
     return false;
 }
 
-void Gateway::returnQuota(PendingRequest &pending, TimePoint now)
+void Gateway::returnQuota(PendingRequest &pending)
 {
     if (pending.runs == 0 && pending.quotaKey != 0)
-        quotas_.giveBack(std::exchange(pending.quotaKey, 0), now);
+        quotas_.giveBack(std::exchange(pending.quotaKey, 0), quotaTime());
 }
 
 void Gateway::applyQuotaUsage(const PeerIdentity &peer, const std::vector<TeamUsage> &usage,
-                              int heardThere, Duration age, TimePoint now)
+                              int heardThere, Duration age)
 {
     if (!hasQuotas_ || heardThere < 1)
         return;
+    const TimePoint now = quotaTime();
     auto &incarnation = quotaPeers_[peer.id];
     if (incarnation != 0 && incarnation != peer.incarnation)
         quotas_.forgetPeer(incarnation, now);
@@ -73,21 +80,27 @@
     quotas_.merge(peer.incarnation, usage, heardThere, age, now);
 }
 
-void Gateway::fillQuotaReport(LoadReport &report, TimePoint now)
+void Gateway::fillQuotaReport(LoadReport &report)
 {
     if (!hasQuotas_)
         return;
+    const TimePoint now = quotaTime();
     report.quotaUsage = quotas_.usageToReport(now);
     report.quotaHeard = quotas_.heard(now);
 }
 
-void Gateway::updateQuotaInstances(TimePoint now)
+// Instances that were listed count until the next list, also if nothing is heard of them: one that
+// is cut off must not take their part of a quota.
+void Gateway::updateQuotaInstances()
 {
+    const TimePoint now = quotaTime();
     // Until the list is read: as many instances as a caller is told of at most.
     constexpr std::size_t assumedInstances = 64;
-    const std::size_t count = areInstancesKnown(now)
-            ? instanceCount(now)
-            : std::max(assumedInstances, fleet_.peers().size() + 1);
+    std::size_t count = fleet_.peers().size() + 1;
+    for (const std::string &id : listedInstances_)
+        count += fleet_.peers().contains(id) ? 0 : 1;
+    if (!isInstanceListRead_)
+        count = std::max(count, assumedInstances);
     quotas_.setInstances(static_cast<int>(count), now);
     metrics_.set("vane_gateway_quota_heard", {}, quotas_.heard(now));
     std::erase_if(quotaPeers_, [this, now](const auto &entry) {
--- a/chestnutvane/process/gateway/store/store_feed_content.cc
+++ b/chestnutvane/process/gateway/store/store_feed_content.cc
@@ -83,6 +83,9 @@
         state.peerChangeReadAt = readAt;
         if (isNewEra) {
             applyList(loop, prefixContent.list, readAt, ContentSource::Peer);
+            // The next read starts from this list, or all instances would list at once.
+            if (store_.changesSince)
+                state.readKind = ReadKind::Changes;
             continue;
         }
         // Entries with equal hashes are not replaced, as this instance may have newer heartbeats.
