Send the usage of quotas at most twice a second

Change: FleetLink adds it to reports to a receiver after quotaReportInterval; the figures are absolute, so a report without them loses nothing.

--- a/chestnutvane/process/gateway/fleet/report_parts.cc
+++ b/chestnutvane/process/gateway/fleet/report_parts.cc
@@ -14,8 +14,8 @@
 constexpr const char *statedSpeedsName = "s";
 constexpr const char *teamUsesName = "t";
 
-// Demand is sent as a whole number of hundredths, which takes a few bytes in place of nine.
-constexpr double demandScale = 100;
+// Demand is sent as a whole number of tenths, which takes a few bytes in place of nine.
+constexpr double demandScale = 10;
 
 Json encodeQuotaUsage(const std::vector<TeamUsage> &usage)
 {
--- a/chestnutvane/process/gateway/fleet_link.cc
+++ b/chestnutvane/process/gateway/fleet_link.cc
@@ -334,7 +334,6 @@
     round.report.state = state_;
     round.report.sequence = ++sequence_;
     gateway_.fillReport(round.report);
-    gateway_.fillQuotaReport(round.report);
     if (fillFeedStatus_)
         fillFeedStatus_(round.report);
     round.report.feedChange = change;
@@ -342,19 +341,25 @@
 }
 
 const std::string &FleetLink::datagramFor(ReportRound &round, IdentityPart part,
-                                          const std::vector<WarmObject> &warmObjects)
+                                          const std::vector<WarmObject> &warmObjects,
+                                          bool withQuotas)
 {
     for (const ReportRound::Datagram &datagram : round.datagrams) {
-        if (datagram.part == part && datagram.warmObjects == warmObjects)
+        if (datagram.part == part && datagram.warmObjects == warmObjects
+            && datagram.withQuotas == withQuotas)
             return datagram.bytes;
     }
     LoadReport &report = round.report;
     report.warmObjects = warmObjects;
+    report.quotaUsage.clear();
+    report.quotaHeard = 0;
+    if (withQuotas)
+        gateway_.fillQuotaReport(report);
     if (part == IdentityPart::Full)
         report.crashCounts = gateway_.crashCountsToReport();
     else
         report.crashCounts.clear();
-    round.datagrams.push_back({part, warmObjects, encodeReport(report, part)});
+    round.datagrams.push_back({part, withQuotas, warmObjects, encodeReport(report, part)});
     return round.datagrams.back().bytes;
 }
 
@@ -366,10 +371,13 @@
     const auto warmObjects = std::exchange(outbox.unsentWarmObjects, {});
     if (withIdentity)
         outbox.identitySentAt = now;
+    const bool withQuotas = now - outbox.quotasSentAt >= quotaReportInterval;
+    if (withQuotas)
+        outbox.quotasSentAt = now;
     outbox.lastStateSent = state_;
     outbox.lastSent = now;
     return datagramFor(round, withIdentity ? IdentityPart::Full : IdentityPart::Incarnation,
-                       warmObjects);
+                       warmObjects, withQuotas);
 }
 
 ReportIntervals FleetLink::intervals() const
--- a/chestnutvane/process/gateway/fleet_link.h
+++ b/chestnutvane/process/gateway/fleet_link.h
@@ -54,6 +54,10 @@
 // Returns the intervals for the numbers of peers in the same region and in other regions.
 ReportIntervals reportIntervals(std::size_t sameRegion, std::size_t otherRegions);
 
+// Least time between two reports to a receiver that hold the usage of quotas, which is as long as
+// the rest of a report. With the interval of reports it stays below livenessTimeout / 2.
+inline constexpr Milliseconds quotaReportInterval{500};
+
 // The intervals of reports that go through relays. Each reaches the whole region, so the number of
 // reports is what an instance of the region has to decode.
 inline constexpr ReportIntervals relayedIntervals{Milliseconds{150}, Milliseconds{300},
@@ -113,6 +117,7 @@
     {
         std::vector<WarmObject> unsentWarmObjects; // since the last report
         TimePoint lastSent;
+        TimePoint quotasSentAt; // when a report last held the usage of quotas
         TimePoint identitySentAt; // when a report last held the sender's full identity
         PeerState lastStateSent = PeerState::Starting;
     };
@@ -133,6 +138,7 @@
         struct Datagram
         {
             IdentityPart part = IdentityPart::Full;
+            bool withQuotas = false;
             std::vector<WarmObject> warmObjects;
             std::string bytes;
         };
@@ -167,7 +173,7 @@
     [[nodiscard]] ReportRound startRound(const std::string &change);
     // Returns the encoded report, from the round if an equal one was sent in it.
     const std::string &datagramFor(ReportRound &round, IdentityPart part,
-                                   const std::vector<WarmObject> &warmObjects);
+                                   const std::vector<WarmObject> &warmObjects, bool withQuotas);
     // Returns the encoded report for a receiver or an audience and records that it was sent.
     const std::string &nextDatagram(Outbox &outbox, ReportRound &round);
     [[nodiscard]] Outbox &outboxFor(Audience audience)
