--- a/chestnutvane/connection/retry_after.cc
+++ b/chestnutvane/connection/retry_after.cc
@@ -46,7 +46,6 @@
 
 std::string retryAfterText(Duration pause)
 {
-    using Seconds = std::chrono::duration<double>;
     const std::string seconds = std::to_string(Seconds(pause).count());
     constexpr std::size_t decimals = 2;
     return seconds.substr(0, seconds.find('.') + 1 + decimals);
