End the requests of a gateway test before its gateway

A process ends its requests before its gateway. Change: the test ends all requests, and expects that none is pending.

--- a/chestnutvane/process/gateway/gateway_admission_test.cc
+++ b/chestnutvane/process/gateway/gateway_admission_test.cc
@@ -72,6 +72,13 @@
     for (const auto &[hash, target] : crowded.gateway.registry().all())
         inFlight += target->inFlight;
     EXPECT_EQ(crowded.answered, 0);
+    // Ends all requests: an attempt in flight would keep its request beyond the gateway.
+    crowded.gateway.registry().replaceAll({}, Clock::now(), RemovalPolicy::Immediate);
+    crowded.gateway.scheduleFullPasses();
+    crowded.io.restart();
+    while (crowded.gateway.pendingRequests() > 0 && crowded.io.run_one_for(Milliseconds(500)) > 0) {
+    }
+    EXPECT_EQ(crowded.gateway.pendingRequests(), 0U);
     return inFlight;
 }
 
