--- a/review/standins-2/standins.cc
+++ b/review/standins-2/standins.cc
@@ -684,6 +684,7 @@
     Machine &operator=(const Machine &) = delete;
 
     [[nodiscard]] const Address &callers() const { return callers_; }
+    [[nodiscard]] const Address &directory() const { return directory_; }
     [[nodiscard]] const std::string &id() const { return id_; }
 
     // Bounds, limits and times are those of the small deployments.
@@ -1202,6 +1203,83 @@
     return cut > 0 ? statusBroken : statusHeld;
 }
 
+// Whether the directory of a machine names an address beside that of the machine itself; nothing
+// without an answer.
+std::optional<bool> namesBeside(const Machine &machine, const Address &other)
+{
+    const auto connection = Connection::to(machine.directory(), 1s);
+    if (!connection
+        || !connection->send(
+                "GET /chestnutvane/resolution?name=a.example&region=r1&zone=z1 HTTP/1.1"
+                "\r\nHost: x\r\n\r\n"))
+        return std::nullopt;
+    const auto answer = connection->read();
+    if (!answer || answer->status() != 200)
+        return std::nullopt;
+    const Json addresses = Json::parse(answer->body)["addresses"];
+    const auto names = [&addresses](const Address &address) {
+        return std::find(addresses.begin(), addresses.end(), Json(address.text()))
+                != addresses.end();
+    };
+    return names(machine.callers()) && names(other);
+}
+
+// One of two machines is lost for good, again and again with a new start in between; the other one
+// is asked for addresses all the while.
+int lostMachine(Record &record, bool trouble)
+{
+    constexpr int rounds = 5;
+    constexpr Seconds bound = 6s; // stabilityWindowS + 3 s
+    constexpr Seconds watched = 9s;
+    constexpr int tolerated = 3;
+    Store &store = *new Store(freeAddress("127.84.0.2")); // the stand-ins live to the end
+    store.put("op/config",
+              configuration(1, {{"seatmap", route("/seatmap/", "idempotent", "boxoffice")}}));
+    for (int i = 1; i <= 3; ++i)
+        new Upstream(store, record, "i-" + std::to_string(i), "boxoffice",
+                     "127.84.2." + std::to_string(i), workUsually);
+    const Machine calm(record, "front-1", "127.84.1.1", store.address(), 260);
+    calm.awaitReady();
+    Machine lost(record, "front-2", "127.84.1.2", store.address(), 260);
+    int stale = 0;
+    int asked = 0;
+    for (int round = 1; round <= rounds; ++round) {
+        lost.awaitReady();
+        std::this_thread::sleep_for(3500ms + round * 400ms); // losses come at any moment
+        if (trouble) {
+            lost.kill();
+            record.add("front-2 killed");
+        }
+        const auto killedAt = Clock::now();
+        double lastNamed = 0;
+        while (Clock::now() < killedAt + watched) {
+            const Seconds after = Clock::now() - killedAt;
+            const auto isNamed = namesBeside(calm, lost.callers());
+            asked += isNamed ? 1 : 0;
+            if (isNamed.value_or(false) && trouble) {
+                lastNamed = after.count();
+                if (after > bound) {
+                    ++stale;
+                    record.add("BROKEN front-1 names front-2 " + std::to_string(after.count())
+                               + " s after it was killed");
+                }
+            }
+            std::this_thread::sleep_for(100ms);
+        }
+        if (trouble) {
+            record.add("round " + std::to_string(round) + ": front-2 was named until "
+                       + std::to_string(lastNamed) + " s after it was killed");
+            lost.start();
+        }
+    }
+    record.add("answers of the directory " + std::to_string(asked)
+               + ", of these named a machine that was killed over 6 s before "
+               + std::to_string(stale));
+    if (asked < rounds * 30)
+        throw std::runtime_error("the directory did not answer");
+    return stale > tolerated ? statusBroken : statusHeld;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -1210,6 +1288,7 @@
             {"refused-promise", refusedPromise},
             {"grown-configuration", grownConfiguration},
             {"early-answer", earlyAnswer},
+            {"lost-machine", lostMachine},
     };
     constexpr int words = 3;
     if (argc != words || !cases.contains(argv[1])) {
