--- a/review/standins-2/standins.cc
+++ b/review/standins-2/standins.cc
@@ -752,9 +752,9 @@
     {
         if (process_ <= 0)
             return;
-        ::kill(process_, SIGKILL);
-        waitpid(process_, nullptr, 0);
-        process_ = 0;
+        const pid_t process = process_.exchange(0);
+        ::kill(process, SIGKILL);
+        waitpid(process, nullptr, 0);
     }
 
     // The memory that the process holds, in bytes.
@@ -801,7 +801,7 @@
     Address directory_;
     Address report_;
     Address metrics_;
-    pid_t process_ = 0;
+    std::atomic<pid_t> process_ = 0;
 };
 
 Json route(const std::string &prefix, const std::string &kind, const std::string &service)
@@ -1280,15 +1280,83 @@
     return stale > tolerated ? statusBroken : statusHeld;
 }
 
+// Clients send single uploads just below maxBodyBytes to machines of 112 MB. The platform ends a
+// process that holds more than its machine has, and starts it again.
+int largeBody(Record &record, bool trouble)
+{
+    constexpr int memoryMb = 112;
+    constexpr std::size_t memoryBytes = std::size_t{memoryMb} << 20U;
+    constexpr int uploadsOfMachine = 4;
+    constexpr int endsOfFault = 3;
+    constexpr int machinesOfFault = 2;
+    const std::size_t uploadBytes = trouble ? 64'000'000 : 360'000;
+    Store &store = *new Store(freeAddress("127.85.0.2")); // the stand-ins live to the end
+    store.put("op/config",
+              configuration(1, {{"lookbook", route("/lookbook/", "upload", "gallery")}}));
+    for (int i = 1; i <= 4; ++i)
+        new Upstream(store, record, "i-" + std::to_string(i), "gallery",
+                     "127.85.2." + std::to_string(i), workUsually);
+    std::vector<std::unique_ptr<Machine>> machines;
+    for (const char *ip : {"127.85.1.1", "127.85.1.2"})
+        machines.push_back(std::make_unique<Machine>(record,
+                                                     "front-" + std::to_string(machines.size() + 1),
+                                                     ip, store.address(), memoryMb));
+    for (const auto &machine : machines)
+        machine->awaitReady();
+    std::this_thread::sleep_for(5s); // stabilityWindowS is 4
+
+    int faultyMachines = 0;
+    int served = 0;
+    for (const auto &machine : machines) {
+        int ends = 0;
+        for (int i = 0; i < uploadsOfMachine; ++i) {
+            const std::string id = "video-" + machine->id() + "-" + std::to_string(i);
+            std::atomic<bool> isAnswered = false;
+            std::optional<Message> answer;
+            std::thread client([&] {
+                answer = ask(*machine, "POST", "/lookbook/" + id, id, videoOf(id, uploadBytes));
+                isAnswered = true;
+            });
+            std::size_t most = 0;
+            while (!isAnswered && most <= memoryBytes) {
+                most = std::max(most, machine->residentBytes());
+                std::this_thread::sleep_for(1ms);
+            }
+            const bool isOver = most > memoryBytes;
+            if (isOver)
+                machine->kill();
+            client.join();
+            record.add("client sent " + id + " with " + std::to_string(uploadBytes) + " bytes to "
+                       + machine->id() + " and got "
+                       + (answer ? std::to_string(answer->status()) : "no answer")
+                       + "; the process held up to " + std::to_string(most) + " bytes");
+            served += answer && answer->status() == 200 ? 1 : 0;
+            if (!isOver)
+                continue;
+            ++ends;
+            record.add("BROKEN the platform ended " + machine->id() + ", which held more than "
+                       + std::to_string(memoryBytes) + " bytes");
+            std::this_thread::sleep_for(500ms);
+            machine->start();
+            machine->awaitReady();
+            std::this_thread::sleep_for(5s);
+        }
+        record.add(machine->id() + " was ended " + std::to_string(ends) + " times");
+        faultyMachines += ends >= endsOfFault ? 1 : 0;
+    }
+    record.add("machines whose process was ended three times: " + std::to_string(faultyMachines)
+               + " of 2; uploads served: " + std::to_string(served) + " of 8");
+    return faultyMachines >= machinesOfFault ? statusBroken : statusHeld;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     const std::map<std::string, int (*)(Record &, bool)> cases{
-            {"refused-promise", refusedPromise},
-            {"grown-configuration", grownConfiguration},
-            {"early-answer", earlyAnswer},
-            {"lost-machine", lostMachine},
+            {"refused-promise", refusedPromise}, {"grown-configuration", grownConfiguration},
+            {"early-answer", earlyAnswer},       {"lost-machine", lostMachine},
+            {"large-body", largeBody},
     };
     constexpr int words = 3;
     if (argc != words || !cases.contains(argv[1])) {
