Stop naming a lost instance from an old list of instances

Cause: without reports the directory fell back to the store's list without regard to its age, and the next read of that list stayed where it was set while reports still came: 6 s ahead, up to 30 s in a fleet of 300. A list that is read in the first 3 s after a loss still has the lost instance.

Evidence: look-up-answered now tells its source and the list's age.

Fix: an instance that hears no other one reads the current list at once and each 0.8 s, and names a listed instance by the age of its last sign of life (report, or read of the list less the lease), 5 s at most. While the list cannot be read, all that were listed or heard stay named; before, those that were heard and not listed yet were left out.

--- a/chestnutvane/process/gateway/directory.cc
+++ b/chestnutvane/process/gateway/directory.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "chestnutvane/base/hash.h"
+#include "chestnutvane/process/gateway/store/instance_entry.h"
 
 namespace chestnutvane {
 namespace {
@@ -59,6 +60,18 @@
 
 } // namespace
 
+bool mayNameSilentInstance(const InstanceSigns &signs)
+{
+    if (!signs.canReadList)
+        return true;
+    const Duration sinceRenewal = signs.sinceListed + instanceEntryTtl;
+    if (!signs.sinceReport)
+        return sinceRenewal <= maxInstanceSilence;
+    const Duration silence =
+            signs.hasCurrentLease ? std::min(*signs.sinceReport, sinceRenewal) : *signs.sinceReport;
+    return silence <= maxInstanceSilence;
+}
+
 std::vector<std::string> instancesFor(const DirectoryQuery &query,
                                       const std::vector<DirectoryInstance> &instances,
                                       const RouteTable *table)
--- a/chestnutvane/process/gateway/directory.h
+++ b/chestnutvane/process/gateway/directory.h
@@ -12,9 +12,11 @@
 // Pure functions without state.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "chestnutvane/base/time.h"
 #include "chestnutvane/version/route_table.h"
 
 namespace chestnutvane {
@@ -37,6 +39,25 @@
     std::string caller; // the caller's IP address
 };
 
+// What shows that another instance runs, for an instance that hears no other one.
+struct InstanceSigns
+{
+    std::optional<Duration> sinceReport; // since its last report arrived; nothing: unknown
+    Duration sinceListed{0}; // since the start of the store read that listed it
+    bool hasCurrentLease = true; // the list tells that its lease was renewed lately
+    bool canReadList = true; // false: the store cannot be read, and no newer list can be had
+};
+
+// Time after its last sign of life for which a silent instance is still named. An entry in the
+// store outlives its instance by instanceEntryTtl, the next read of the list starts within
+// isolatedInstanceReadPeriod, and 1.2 s are left for the call.
+inline constexpr Milliseconds maxInstanceSilence{5000};
+
+// Whether an instance that the store lists may still be named to callers although its reports have
+// stopped. While the store cannot be read, all listed instances may be: they are more likely cut
+// off from this instance than dead.
+bool mayNameSilentInstance(const InstanceSigns &signs);
+
 // Named to each caller at least, so that it has others when one fails.
 inline constexpr std::size_t minDirectoryAddresses = 4;
 // Maximum number of addresses in a response.
--- a/chestnutvane/process/gateway/directory_test.cc
+++ b/chestnutvane/process/gateway/directory_test.cc
@@ -52,6 +52,26 @@
               Addresses{"1:1"});
 }
 
+// Guards against callers that are directed to an instance whose death the store's list does not
+// show yet, and against leaving out the living while no newer list can be had.
+TEST(DirectoryTest, ASilentInstanceIsNamedUntilTheListShouldHaveShownItsDeath)
+{
+    using namespace std::chrono_literals;
+    const InstanceSigns lately{.sinceReport = 2500ms, .sinceListed = 100ms};
+    EXPECT_TRUE(mayNameSilentInstance(lately));
+    const InstanceSigns listedAgain{.sinceReport = 10s, .sinceListed = 800ms};
+    EXPECT_TRUE(mayNameSilentInstance(listedAgain)); // its reports are lost, its lease is not
+    const InstanceSigns oldList{.sinceReport = 10s, .sinceListed = 3s};
+    EXPECT_FALSE(mayNameSilentInstance(oldList));
+    const InstanceSigns staleList{
+            .sinceReport = 10s, .sinceListed = 100ms, .hasCurrentLease = false};
+    EXPECT_FALSE(mayNameSilentInstance(staleList));
+    const InstanceSigns neverHeard{.sinceListed = 100ms, .hasCurrentLease = false};
+    EXPECT_TRUE(mayNameSilentInstance(neverHeard));
+    const InstanceSigns storeAway{.sinceReport = 60s, .sinceListed = 60s, .canReadList = false};
+    EXPECT_TRUE(mayNameSilentInstance(storeAway));
+}
+
 // Guards against an instance without routes that directs callers to regions that are no homes.
 TEST(DirectoryTest, WithoutRoutesNoOtherRegionIsNamed)
 {
--- a/chestnutvane/process/gateway/gateway_process.cc
+++ b/chestnutvane/process/gateway/gateway_process.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <map>
 #include <random>
 
 #include "chestnutvane/connection/framing_limits.h"
@@ -215,9 +216,11 @@
         updateState();
         gateway_.scheduleFullPasses();
     };
-    callbacks.onInstances = [this](const std::vector<PeerIdentity> &instances) {
-        link_->setListedPeers(instances);
-        gateway_.setListedInstances(instances);
+    callbacks.onInstances = [this](const InstanceList &list) {
+        listReadStart_ = list.readStart;
+        listHasCurrentLeases_ = list.hasCurrentLeases;
+        link_->setListedPeers(list.instances);
+        gateway_.setListedInstances(list.instances);
     };
     callbacks.onContentChanged = [this](const std::string &change) {
         if (feed_.isReader())
@@ -284,8 +287,14 @@
     HttpResponseMessage message(http::status::ok, 11);
     message.set(http::field::content_type, "application/json");
     message.body() = platform_.encodeAddresses(addresses, settings_.directoryTtl);
+    const auto listAge =
+            std::chrono::duration_cast<Milliseconds>(BootClock::now() - listReadStart_);
     logEvent(Event::LookUpAnswered,
-             {{"caller", call.peer}, {"region", query->region}, {"addresses", addresses.size()}});
+             {{"caller", call.peer},
+              {"region", query->region},
+              {"addresses", addresses.size()},
+              {"source", hasLivePeer() ? "reports" : "store-list"},
+              {"list-age-ms", listAge.count()}});
     call.answer(std::move(message));
 }
 
@@ -328,23 +337,54 @@
     };
     std::vector<DirectoryInstance> result{toDirectoryInstance(self_, isReady())};
     const TimePoint now = Clock::now();
-    bool hasLivePeer = false;
     for (const auto &[id, peer] : gateway_.fleet().peers()) {
         if (now - peer.receivedAt > FleetView::livenessTimeout)
             continue;
-        hasLivePeer = true;
         result.push_back(
                 toDirectoryInstance(peer.report.sender, peer.report.state == PeerState::Serving));
     }
-    // Without a live peer the instance cannot tell which instances run, so it uses the store's
-    // list.
-    if (!hasLivePeer) {
-        for (const auto &[id, peer] : link_->listedPeers())
-            result.push_back(toDirectoryInstance(peer, true));
+    if (hasLivePeer())
+        return result;
+    // Without a live peer, only the store's list tells which instances run.
+    std::map<std::string, PeerIdentity> silentPeers = link_->listedPeers();
+    const auto &heardPeers = gateway_.fleet().peers();
+    if (!feed_.canReadInstances()) { // the last list may lack instances that started after it
+        for (const auto &[id, peer] : heardPeers)
+            silentPeers.try_emplace(id, peer.report.sender);
+    }
+    const BootTime bootNow = BootClock::now();
+    for (const auto &[id, peer] : silentPeers) {
+        InstanceSigns signs{.sinceReport = {},
+                            .sinceListed = bootNow - listReadStart_,
+                            .hasCurrentLease = listHasCurrentLeases_,
+                            .canReadList = feed_.canReadInstances()};
+        bool isStopping = false;
+        if (const auto heard = heardPeers.find(id); heard != heardPeers.end()) {
+            const LoadReport &report = heard->second.report;
+            signs.sinceReport = now - heard->second.receivedAt;
+            isStopping = report.state == PeerState::Stopping
+                    && report.sender.incarnation == peer.incarnation;
+        }
+        if (mayNameSilentInstance(signs))
+            result.push_back(toDirectoryInstance(peer, !isStopping));
     }
     return result;
 }
 
+bool GatewayProcess::hasLivePeer() const
+{
+    const auto &peers = gateway_.fleet().peers();
+    return std::any_of(peers.begin(), peers.end(), [now = Clock::now()](const auto &peer) {
+        return now - peer.second.receivedAt <= FleetView::livenessTimeout;
+    });
+}
+
+bool GatewayProcess::hearsNobody() const
+{
+    // The first reports may still be on their way to an instance that has just started.
+    return Clock::now() - startedAt_ > FleetView::livenessTimeout && !hasLivePeer();
+}
+
 void GatewayProcess::waitForSignal()
 {
     signals_.async_wait([this](const boost::system::error_code &ended, int signal) {
@@ -479,6 +519,7 @@
     gateway_.tick();
     flushLog();
     electReader();
+    feed_.setHearsNobody(hearsNobody());
     fetchFeedFromPeer();
     constexpr Milliseconds period{500};
     tickTimer_.expires_after(period);
--- a/chestnutvane/process/gateway/gateway_process.h
+++ b/chestnutvane/process/gateway/gateway_process.h
@@ -69,6 +69,10 @@
     void answerMetrics(Call call);
     [[nodiscard]] const std::string &packedLists();
     [[nodiscard]] std::vector<DirectoryInstance> instances() const;
+    // Whether a report of another instance has arrived within FleetView::livenessTimeout.
+    [[nodiscard]] bool hasLivePeer() const;
+    // Whether this instance should have received reports of others by now and has not.
+    [[nodiscard]] bool hearsNobody() const;
     [[nodiscard]] FeedCallbacks feedCallbacks();
     void updateState();
     void waitForSignal();
@@ -103,6 +107,9 @@
     net::signal_set signals_;
     net::steady_timer tickTimer_;
     net::steady_timer shutdownTimer_;
+    TimePoint startedAt_ = Clock::now();
+    BootTime listReadStart_; // of the list of instances that the link has
+    bool listHasCurrentLeases_ = false;
     bool targetsKnown_ = false;
     bool feedRequestInFlight_ = false;
     std::string lastFeedPeer_; // the peer that was asked last during start-up
--- a/chestnutvane/process/gateway/store/instance_entry.h
+++ b/chestnutvane/process/gateway/store/instance_entry.h
@@ -6,10 +6,14 @@
 #include <optional>
 #include <string>
 
+#include "chestnutvane/base/time.h"
 #include "chestnutvane/process/gateway/fleet/load_report.h"
 
 namespace chestnutvane {
 
+// The entry expires so long after the last renewal of its lease.
+inline constexpr Milliseconds instanceEntryTtl{3000};
+
 // Encodes the value of an entry (JSON).
 std::string encodeInstanceEntry(const PeerIdentity &peer);
 
--- a/chestnutvane/process/gateway/store/store_feed.h
+++ b/chestnutvane/process/gateway/store/store_feed.h
@@ -13,6 +13,9 @@
 // reregistrationGrace what was in force before is not taken back by what the store lacks (see
 // docs/design/store-era.md).
 //
+// The list of instances is read rarely while reports of other instances arrive, and often while
+// none do.
+//
 // Example:
 //
 //   StoreFeed feed(io, store, format, identity, callbacks);
@@ -35,6 +38,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "chestnutvane/base/boot_clock.h"
 #include "chestnutvane/process/gateway/fleet/feed_sharing.h"
 #include "chestnutvane/process/gateway/fleet/load_report.h"
 #include "chestnutvane/process/gateway/store/evacuation_memory.h"
@@ -83,13 +87,23 @@
     std::function<Result<TargetEntry, FeedError>(std::string id, std::string_view)> decodeTarget;
 };
 
+// The instances that the store lists.
+struct InstanceList
+{
+    std::vector<PeerIdentity> instances;
+    BootTime readStart; // when the read of the list started
+    // Whether the lease of each instance was renewed within instanceEntryTtl before the read. A
+    // stale list is older than that, and leases may pause in an outage of the store.
+    bool hasCurrentLeases = false;
+};
+
 // Callbacks of the feed, invoked on the thread of the io_context.
 struct FeedCallbacks
 {
     std::function<void(std::shared_ptr<const RouteTable>)> onRoutes;
     std::function<void(std::set<std::string>)> onEvacuatedZones;
     std::function<void(std::vector<TargetEntry>, RemovalPolicy)> onTargets;
-    std::function<void(std::vector<PeerIdentity>)> onInstances;
+    std::function<void(InstanceList)> onInstances;
     // The content of a prefix has changed. `change` is the encoded change, or empty if peers must
     // not apply it.
     std::function<void(const std::string &change)> onContentChanged;
@@ -102,6 +116,9 @@
     std::function<void(const PeerIdentity &)> askPeer;
 };
 
+// Read period of the list of instances while no reports arrive from the region.
+inline constexpr Milliseconds isolatedInstanceReadPeriod{800};
+
 class StoreFeed
 {
 public:
@@ -118,6 +135,15 @@
     void setReader(bool reader) { isReader_ = reader; }
     [[nodiscard]] bool isReader() const { return isReader_; }
 
+    // Tells whether this instance has stopped to receive reports of any other instance. Only the
+    // list of instances then distinguishes the living from the dead, so it is read at once, and
+    // again after each isolatedInstanceReadPeriod.
+    void setHearsNobody(bool hearsNobody);
+
+    // Whether the last read of the list of instances succeeded. Otherwise the list that was passed
+    // to onInstances is the newest that this instance can have.
+    [[nodiscard]] bool canReadInstances() const;
+
     // Fingerprint and age of this instance's content, for load reports.
     [[nodiscard]] FeedStatus targetsStatus() const;
     [[nodiscard]] FeedStatus operatorStatus() const;
@@ -223,9 +249,10 @@
     void writeEntry();
     void replaceLease();
     void readInstances();
+    void onInstanceList(const Result<WatchResult, StoreError> &result, bool hasCurrentLeases);
     void keepUnlistedInstances(std::vector<PeerIdentity> &instances);
-    // Whether no report of the region has arrived for a while.
-    [[nodiscard]] bool isIsolated() const;
+    // Whether no report of another instance of the region has arrived for a while.
+    [[nodiscard]] bool hearsNobodyInRegion() const;
     template <class T, class OnResult>
     auto withRetry(Loop loop, OnResult onResult);
     void onLeaseResult(const std::optional<StoreError> &failure);
@@ -238,7 +265,7 @@
         bool isParked = false; // waits for the success of a read in place of a time
         TimePoint callStart; // of the last call
         BootTime readStart; // of the last list call
-        bool readRunning = false;
+        bool readRunning = false; // not for Loop::Lease
         ReadKind readKind = ReadKind::List;
         bool removalsDeferred = false; // entries missing from the last list may still be in force
         std::optional<WatchResult> staleList; // that the next changes complete
@@ -256,6 +283,7 @@
     FeedFreshness operatorFreshness_;
     FeedFreshness targetsFreshness_;
     bool isReader_ = true;
+    bool hearsNobody_ = false;
     std::string routesText_; // encoded routes that were read last
     std::optional<std::uint64_t> routesRevision_; // in force
     EvacuationMemory evacuations_;
--- a/chestnutvane/process/gateway/store/store_feed_registration.cc
+++ b/chestnutvane/process/gateway/store/store_feed_registration.cc
@@ -9,19 +9,14 @@
 namespace chestnutvane {
 namespace {
 
-// The entry of a dead instance expires after this time. With a read of the list every
-// isolatedInstanceReadPeriod, callers are no longer directed to it after 4 s.
-constexpr Milliseconds leaseTtl{3000};
-constexpr Milliseconds leaseRenewalPeriod{1000}; // the lease survives two failed renewals
+// The lease of instanceEntryTtl survives two failed renewals.
+constexpr Milliseconds leaseRenewalPeriod{1000};
 // A starting instance sends reports to all instances in the list, and missing reports reveal dead
 // instances. Later reads only discover instances whose first reports were lost. Their period grows
 // with the fleet, which reads about 10 lists a second in all.
 constexpr Milliseconds minInstanceReadPeriod{6000};
 constexpr Milliseconds maxInstanceReadPeriod{30000};
 constexpr Milliseconds instanceReadPeriodPerInstance{100};
-// Read period of an instance that receives no reports from its region: it may depend on the list
-// alone to find live instances.
-constexpr Milliseconds isolatedInstanceReadPeriod{800};
 // Delay before the second read of an instance that starts, so that instances that start together
 // discover each other. It doubles with each read.
 constexpr Milliseconds firstInstanceReadPeriod{400};
@@ -49,7 +44,8 @@
     if (leaseId_ == 0) {
         entryWritten_ = false;
         return store_.grantLease(
-                leaseTtl, withRetry<std::uint64_t>(Loop::Lease, [this, since = eraSince_](auto id) {
+                instanceEntryTtl,
+                withRetry<std::uint64_t>(Loop::Lease, [this, since = eraSince_](auto id) {
                     if (since != eraSince_)
                         return; // of a store that is gone
                     leaseId_ = id;
@@ -109,20 +105,50 @@
 {
     // Load reports decide which instances are alive, and the list only serves to discover new ones.
     // An instance that no longer hears any has nothing else to tell the dead from the living.
-    const bool hasLostPeers = lastPeerReport_ != TimePoint{} && isIsolated();
+    const bool hasLostPeers =
+            hearsNobody_ || (lastPeerReport_ != TimePoint{} && hearsNobodyInRegion());
+    const bool isBehindOutage =
+            reachableSince_ != TimePoint{} && Clock::now() < reachableSince_ + instanceEntryTtl;
+    LoopState &state = loops_[indexOf(Loop::Instances)];
+    state.readRunning = true;
+    state.readStart = BootClock::now();
     const auto &list = hasLostPeers ? store_.list : store_.listStale;
     list(format_.instancePrefix,
-         withRetry<WatchResult>(Loop::Instances, [this](const WatchResult &result) {
-             std::vector<PeerIdentity> instances;
-             for (const StoreEntry &entry : result.entries) {
-                 if (auto instance = decodeInstanceEntry(entry.value))
-                     instances.push_back(std::move(*instance));
-             }
-             keepUnlistedInstances(instances);
-             const std::size_t count = instances.size();
-             callbacks_.onInstances(std::move(instances));
-             scheduleRun(Loop::Instances, nextInstanceRead(count));
-         }));
+         owner_.posted<Result<WatchResult, StoreError>>(
+                 [this, hasCurrentLeases = hasLostPeers && !isBehindOutage](const auto &result) {
+                     onInstanceList(result, hasCurrentLeases);
+                 }));
+}
+
+void StoreFeed::onInstanceList(const Result<WatchResult, StoreError> &result, bool hasCurrentLeases)
+{
+    LoopState &state = loops_[indexOf(Loop::Instances)];
+    state.readRunning = false;
+    if (!isOk(result))
+        return retry(Loop::Instances, error(result));
+    onSuccess(Loop::Instances);
+    InstanceList list{{}, state.readStart, hasCurrentLeases};
+    for (const StoreEntry &entry : value(result).entries) {
+        if (auto instance = decodeInstanceEntry(entry.value))
+            list.instances.push_back(std::move(*instance));
+    }
+    keepUnlistedInstances(list.instances);
+    const std::size_t count = list.instances.size();
+    callbacks_.onInstances(std::move(list));
+    scheduleRun(Loop::Instances, nextInstanceRead(count));
+}
+
+void StoreFeed::setHearsNobody(bool hearsNobody)
+{
+    const bool wasHearing = !std::exchange(hearsNobody_, hearsNobody);
+    const LoopState &state = loops_[indexOf(Loop::Instances)];
+    if (hearsNobody && wasHearing && !state.readRunning && !state.awaitsRetry)
+        scheduleRun(Loop::Instances, Milliseconds{0});
+}
+
+bool StoreFeed::canReadInstances() const
+{
+    return loops_[indexOf(Loop::Instances)].failures == 0;
 }
 
 // Adds the instances of the previous list that a copy of the store lacks, until they have
@@ -141,7 +167,7 @@
     listedInstances_ = instances;
 }
 
-bool StoreFeed::isIsolated() const
+bool StoreFeed::hearsNobodyInRegion() const
 {
     return Clock::now() - lastPeerReport_ > FleetView::livenessTimeout;
 }
@@ -151,7 +177,7 @@
     constexpr int maxDoublings = 8;
     const Milliseconds startup =
             firstInstanceReadPeriod * (1 << std::min(instanceReads_++, maxDoublings));
-    const Milliseconds regular = isIsolated()
+    const Milliseconds regular = hearsNobody_ || hearsNobodyInRegion()
             ? isolatedInstanceReadPeriod
             : std::clamp(instanceReadPeriodPerInstance * static_cast<Milliseconds::rep>(instances),
                          minInstanceReadPeriod, maxInstanceReadPeriod);
@@ -165,7 +191,7 @@
     if (leaseId_ == 0)
         return;
     store_.revokeLease(leaseId_, [](const Result<Done, StoreError> &result) {
-        if (!isOk(result)) // the entry expires with its lease within leaseTtl
+        if (!isOk(result)) // the entry expires with its lease
             logEvent(Event::StoreFailed, {{"reason", "leave"}, {"detail", error(result).detail}});
     });
 }
--- a/chestnutvane/process/gateway/store/store_feed_test.cc
+++ b/chestnutvane/process/gateway/store/store_feed_test.cc
@@ -86,7 +86,9 @@
         FeedCallbacks callbacks;
         callbacks.onRoutes = [](const auto &) {};
         callbacks.onEvacuatedZones = [](const auto &) {};
-        callbacks.onInstances = [](const auto &) {};
+        callbacks.onInstances = [this, id](const InstanceList &list) {
+            hasCurrentLeases_[id] = list.hasCurrentLeases;
+        };
         callbacks.onTargets = [this, id](const std::vector<TargetEntry> &entries, RemovalPolicy) {
             auto &states = targetStates_[id];
             states.clear();
@@ -152,6 +154,7 @@
     // By instance and target.
     std::map<std::string, std::map<std::string, std::string>> targetStates_;
     std::map<std::string, std::uint64_t> sequences_; // by instance and target
+    std::map<std::string, bool> hasCurrentLeases_; // by instance; of the last list of instances
     std::string lastChange_; // passed to onContentChanged by any feed
     int peerRequests_ = 0; // calls of askPeer
 };
@@ -302,6 +305,48 @@
     runUntil([this] { return reads_["other i/"] >= 2; });
 }
 
+// Guards against a list that is used until its next regular read, seconds after the last other
+// instance fell silent: it may have been read while the entry of a dead instance still existed.
+TEST_F(StoreFeedTest, SilenceBringsTheNextReadOfTheInstancesForward)
+{
+    const auto [reader, other] = startPair();
+    const auto runHearing = [&, &reader = reader, &other = other](Milliseconds time) {
+        for (const TimePoint end = Clock::now() + time; Clock::now() < end;) {
+            other->onPeerReport(reportOf(*reader, {}));
+            io_.run_for(20ms);
+        }
+    };
+    runHearing(3s); // the next regular read is seconds ahead now
+    ASSERT_EQ(reads_["other i/"], 0);
+    other->setHearsNobody(true);
+    io_.run_for(100ms);
+    EXPECT_EQ(reads_["other i/"], 1);
+    EXPECT_TRUE(hasCurrentLeases_["other"]);
+    other->setHearsNobody(true);
+    io_.run_for(100ms);
+    EXPECT_EQ(reads_["other i/"], 1);
+    io_.run_for(2s);
+    EXPECT_GE(reads_["other i/"], 2);
+}
+
+// Guards against leaving the living out of the directory while the list of instances cannot be
+// read, and against trusting leases that may have paused meanwhile.
+TEST_F(StoreFeedTest, AnOutageIsToldToTheUsersOfTheInstanceList)
+{
+    const auto feed = makeFeed("reader");
+    feed->start();
+    runUntilTargets("reader", {{"1", "ready"}, {"2", "ready"}});
+    feed->setHearsNobody(true);
+    runUntil([this] { return hasCurrentLeases_["reader"]; });
+    EXPECT_TRUE(feed->canReadInstances());
+    storeUnavailable_ = true;
+    runUntil([&feed] { return !feed->canReadInstances(); });
+    storeUnavailable_ = false;
+    runUntil([&feed] { return feed->canReadInstances(); });
+    EXPECT_FALSE(hasCurrentLeases_["reader"]);
+    runUntil([this] { return hasCurrentLeases_["reader"]; });
+}
+
 // Guards against requests to a deregistered target: a read that started before a peer's change was
 // applied, but is answered after it, must not undo the change.
 TEST_F(StoreFeedTest, AnOlderReadDoesNotUndoAChange)
