Never pass on a target's 503, 429 or 408 for an at-most-once run

Cause: Gateway::deliver handed out the status of a target's answer unchanged. Only the target's header for "not run" makes that promise; without it, the attempt counts as a run.

Evidence: the record has the target's run, the caller's sealed 503 and the second run of the order; the log of an instance has request-ended result=target-failed status=503 for a route that may not be repeated.

Fix: deliver is the one way of a target's answer to a caller. For an at-most-once route it replaces such a status by 502 without seal, body and Retry-After, which promises nothing. Repeatable requests get the answer unchanged.

--- a/chestnutvane/process/gateway/gateway_attempts.cc
+++ b/chestnutvane/process/gateway/gateway_attempts.cc
@@ -63,6 +63,14 @@
         message.erase(field);
 }
 
+// Whether callers take an answer with this status as the promise that the request has not run.
+bool promisesNotRun(http::status status)
+{
+    return status == http::status::request_timeout || status == http::status::misdirected_request
+            || status == http::status::too_many_requests
+            || status == http::status::service_unavailable;
+}
+
 void updateAverage(double &average, double sample, double weight)
 {
     average += (sample - average) * weight;
@@ -406,6 +414,10 @@
 
 void Gateway::deliver(const Pending &pending, HttpResponseMessage message, std::string_view outcome)
 {
+    // The request has run: with such a status the caller would ask again, and it would run twice.
+    if (pending->route->repeat == Repeat::AtMostOnce && promisesNotRun(message.result()))
+        return answerWithError(pending, http::status::bad_gateway,
+                               "ran-and-answered-" + std::to_string(message.result_int()));
     constexpr unsigned firstErrorStatus = 500;
     logEvent(message.result_int() < firstErrorStatus ? Event::RequestServed : Event::RequestEnded,
              {{"request", pending->id},
