Bound store calls by progress, so that slow links get large values

Cause: a call to the store had 1 s, body included. 1 MB is 1.4 MB in base64, 1.1 s at 10 Mbit/s, so the read ended before its end, and the next one asked for the same from the start.

Evidence: the log of an instance has store-failed "Timeout was reached" each 1.1 s, store-regained by another call in between, and no routes-adopted.

Changes that are longer than the largest list (2 MB: several versions of a large value) end at their announced length, and a list follows. store-failed says how many bytes had come.

--- a/chestnutvane/connection/http_client.cc
+++ b/chestnutvane/connection/http_client.cc
@@ -1,10 +1,12 @@
 #include "chestnutvane/connection/http_client.h"
 
+#include <algorithm>
 #include <atomic>
 #include <deque>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
+#include <vector>
 
 #include "chestnutvane/connection/http_exchange.h"
 
@@ -61,8 +63,11 @@
             curl_multi_perform(multi, &active);
             finishExchanges();
             const bool watching = reportSilence();
+            const int untilStalled = endStalledExchanges();
             curl_multi_poll(multi, nullptr, 0,
-                            watching ? internal::silencePollMs : internal::maxPollMs, nullptr);
+                            std::min(watching ? internal::silencePollMs : internal::maxPollMs,
+                                     untilStalled),
+                            nullptr);
         }
         while (!running.empty())
             finish(running.begin()->first, [](Exchange &exchange) {
@@ -153,6 +158,37 @@
         exchange->callback(std::move(result));
     }
 
+    // Ends the exchanges whose progressTimeout has passed. Returns the milliseconds until the next
+    // one may have to end.
+    int endStalledExchanges()
+    {
+        const auto now = Clock::now();
+        Milliseconds untilNext{internal::maxPollMs};
+        std::vector<SendId> stalled;
+        for (const auto &[id, exchange] : running) {
+            if (exchange->request.progressTimeout.count() <= 0)
+                continue;
+            const auto left = std::chrono::ceil<Milliseconds>(
+                    exchange->lastProgress + exchange->request.progressTimeout - now);
+            if (left.count() <= 0)
+                stalled.push_back(id);
+            else
+                untilNext = std::min(untilNext, left);
+        }
+        for (const SendId id : stalled)
+            finish(id, [](Exchange &exchange) {
+                const HttpFailure failure =
+                        exchange.requestStarted ? HttpFailure::Timeout : HttpFailure::ConnectFailed;
+                return internal::exchangeError(
+                        failure, exchange,
+                        "no byte moved for "
+                                + std::to_string(exchange.request.progressTimeout.count()) + " ms, "
+                                + std::to_string(exchange.response.body.size())
+                                + " bytes of the body had come");
+            });
+        return static_cast<int>(untilNext.count());
+    }
+
     // Calls onSilence where it is due. Returns whether an exchange must still be watched.
     bool reportSilence()
     {
--- a/chestnutvane/connection/http_client_bounds_test.cc
+++ b/chestnutvane/connection/http_client_bounds_test.cc
@@ -120,5 +120,98 @@
     EXPECT_LE(sent, memoryBound + exchanges * socketBuffers);
 }
 
+// Sends a head that announces a body, and so many bytes of it, one after each pause.
+void sendSlowly(RawClient &connection, int announced, int sent, std::chrono::milliseconds pause)
+{
+    connection.readUntil("\r\n\r\n");
+    connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(announced) + "\r\n\r\n");
+    for (int i = 0; i < sent; ++i) {
+        std::this_thread::sleep_for(pause);
+        connection.send("x");
+    }
+    if (sent < announced)
+        connection.waitForClose(std::chrono::seconds(10));
+}
+
+// Guards against a body that a slow link carries in time, and that is given up all the same.
+TEST(HttpClientBoundsTest, ABodyMayTakeLongerThanTheTimeWithoutProgress)
+{
+    const RawServer server([](RawClient &connection, int) {
+        sendSlowly(connection, 20, 20, std::chrono::milliseconds(50));
+    });
+    const auto client = makeClient();
+    const HttpResult result = send(*client,
+                                   {.url = "http://" + server.address() + "/x",
+                                    .progressTimeout = std::chrono::milliseconds(400)})
+                                      .get();
+    ASSERT_TRUE(isOk(result)) << error(result).detail;
+    EXPECT_EQ(value(result).body.size(), 20U);
+}
+
+// Guards against an exchange with a server that falls silent, which lasts until its whole time is
+// over.
+TEST(HttpClientBoundsTest, AnExchangeWithoutProgressEndsEarly)
+{
+    const auto client = makeClient();
+    for (const int sent : {-1, 0, 3}) { // -1: not even a head
+        const RawServer server([sent](RawClient &connection, int) {
+            if (sent < 0)
+                connection.waitForClose(std::chrono::seconds(10));
+            else
+                sendSlowly(connection, 20, sent, std::chrono::milliseconds(20));
+        });
+        const auto start = Clock::now();
+        const HttpResult result = send(*client,
+                                       {.url = "http://" + server.address() + "/x",
+                                        .timeout = std::chrono::seconds(8),
+                                        .progressTimeout = std::chrono::milliseconds(300)})
+                                          .get();
+        ASSERT_FALSE(isOk(result)) << sent;
+        EXPECT_EQ(error(result).failure, HttpFailure::Timeout) << sent;
+        EXPECT_LT(Clock::now() - start, std::chrono::seconds(4)) << sent;
+    }
+}
+
+// Guards against a request body that a slow receiver takes in time, and that is given up.
+TEST(HttpClientBoundsTest, BytesOfTheRequestAreProgress)
+{
+    constexpr std::size_t bodyBytes = 8U << 20U; // more than the buffers of both ends hold
+    const RawServer server([](RawClient &connection, int) {
+        connection.readUntil("\r\n\r\n");
+        for (std::size_t read = 0; read < bodyBytes;) {
+            constexpr std::size_t pieceBytes = 65536;
+            const std::string bytes = connection.read(std::min(pieceBytes, bodyBytes - read));
+            if (bytes.empty())
+                return;
+            read += bytes.size();
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        }
+        connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    });
+    const auto client = makeClient();
+    const HttpResult result = send(*client,
+                                   {.method = "POST",
+                                    .url = "http://" + server.address() + "/x",
+                                    .body = std::make_shared<const std::string>(bodyBytes, 'b'),
+                                    .timeout = std::chrono::seconds(30),
+                                    .progressTimeout = std::chrono::milliseconds(600)})
+                                      .get();
+    ASSERT_TRUE(isOk(result)) << error(result).detail;
+}
+
+// Guards against reading a body for seconds whose announced length already exceeds the limit.
+TEST(HttpClientBoundsTest, AnAnnouncedBodyAboveTheLimitIsNotRead)
+{
+    const RawServer server([](RawClient &connection, int) {
+        sendSlowly(connection, 1001, 0, std::chrono::milliseconds(0));
+    });
+    const auto client = makeClient();
+    const HttpResult result =
+            send(*client, {.url = "http://" + server.address() + "/x", .maxResponseBytes = 1000})
+                    .get();
+    ASSERT_FALSE(isOk(result));
+    EXPECT_EQ(error(result).failure, HttpFailure::ResponseTooLarge);
+}
+
 } // namespace
 } // namespace chestnutvane
--- a/chestnutvane/connection/http_exchange.cc
+++ b/chestnutvane/connection/http_exchange.cc
@@ -1,6 +1,7 @@
 #include "chestnutvane/connection/http_exchange.h"
 
 #include <algorithm>
+#include <charconv>
 #include <string_view>
 #include <utility>
 
@@ -33,10 +34,29 @@
     return CURL_PREREQFUNC_OK;
 }
 
+int onTransfer(void *context, curl_off_t, curl_off_t, curl_off_t, curl_off_t uploaded)
+{
+    auto *exchange = static_cast<HttpExchange *>(context);
+    if (std::exchange(exchange->uploadedBytes, uploaded) != uploaded)
+        exchange->lastProgress = Clock::now();
+    return 0; // libcurl goes on
+}
+
+// Whether the answer says that its body exceeds the limit.
+bool announcesTooMuch(std::string_view length, std::size_t limit)
+{
+    std::size_t bytes = 0;
+    const auto [end, failure] =
+            std::from_chars(length.data(), length.data() + length.size(), bytes);
+    return failure == std::errc::result_out_of_range
+            || (failure == std::errc{} && end == length.data() + length.size() && bytes > limit);
+}
+
 std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *context)
 {
     auto *exchange = static_cast<HttpExchange *>(context);
     exchange->firstByteSeen = true;
+    exchange->lastProgress = Clock::now();
     const std::string_view line(data, size * count);
     const bool startsHead = line.starts_with("HTTP/"); // for example after 100 Continue
     exchange->headBytes += line.size();
@@ -59,6 +79,12 @@
     const auto name = trim(line.substr(0, colon));
     if (equalsIgnoreCase(name, "content-length") || equalsIgnoreCase(name, "transfer-encoding"))
         exchange->lengthKnown = true;
+    // Ends the exchange before the body takes time on a slow link.
+    if (equalsIgnoreCase(name, "content-length") && exchange->request.method != "HEAD"
+        && announcesTooMuch(trim(line.substr(colon + 1)), exchange->request.maxResponseBytes)) {
+        exchange->tooLarge = true;
+        return 0;
+    }
     exchange->response.headers.push_back(
             {std::string(name), std::string(trim(line.substr(colon + 1)))});
     return line.size();
@@ -68,6 +94,7 @@
 {
     auto *exchange = static_cast<HttpExchange *>(context);
     exchange->firstByteSeen = true;
+    exchange->lastProgress = Clock::now();
     const std::size_t bytes = size * count;
     const std::size_t before =
             std::exchange(exchange->bufferedBytes, exchange->response.body.size() + bytes);
@@ -171,6 +198,12 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &exchange);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &exchange);
+    exchange.lastProgress = Clock::now();
+    if (request.progressTimeout.count() > 0 && request.body) {
+        curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+        curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, onTransfer);
+        curl_easy_setopt(easy, CURLOPT_XFERINFODATA, &exchange);
+    }
     setBody(exchange);
     setHeaders(exchange);
     return true;
--- a/chestnutvane/connection/http_exchange.h
+++ b/chestnutvane/connection/http_exchange.h
@@ -34,6 +34,7 @@
     CURL *easy = nullptr;
     curl_slist *headerList = nullptr;
     TimePoint requestStart{};
+    TimePoint lastProgress{}; // when a byte moved last, or when the exchange was started
     bool requestStarted = false; // the connection is open; bytes of the request may have left
     bool reusedConnection = false;
     bool firstByteSeen = false;
@@ -43,6 +44,7 @@
     std::size_t headBytes = 0; // of all heads and of the trailer
     std::size_t bufferedBytes = 0; // of the body, as counted in answerMemory
     AnswerMemory *answerMemory = nullptr; // of the client
+    curl_off_t uploadedBytes = 0;
     bool lengthKnown = false;
     bool headEnded = false; // the empty line behind the head was read
 
--- a/chestnutvane/connection/http_message.h
+++ b/chestnutvane/connection/http_message.h
@@ -38,6 +38,9 @@
     std::shared_ptr<const std::string> body; // may be null; shared, because retries send it again
     Milliseconds timeout{5000}; // for the whole exchange
     Milliseconds connectTimeout{1000};
+    // If positive, the exchange fails as Timeout when no byte has moved in either direction for
+    // this long, so that `timeout` can leave time for a long body on a slow link.
+    Milliseconds progressTimeout{0};
     // Sends on a new connection and never resends. Without it libcurl sends a request again by
     // itself when a reused connection closes before the first byte of the answer, POST included.
     bool freshConnection = false;
--- a/chestnutvane/process/events.h
+++ b/chestnutvane/process/events.h
@@ -158,7 +158,7 @@
         {Event::StoreFailed, LogLevel::Warning, "store-failed", "The store stopped answering."},
         {Event::StoreRegained, LogLevel::Info, "store-regained", "The store answers again."},
         {Event::HistoryGap, LogLevel::Info, "history-gap",
-         "The store no longer tells the changes since the last read; a list is read."},
+         "The store does not tell the changes since the last read; a list is read."},
         {Event::TargetChanged, LogLevel::Info, "target-changed",
          "A target registered, left, drains, restarted or has another address."},
         {Event::TargetAvoided, LogLevel::Warning, "target-avoided",
--- a/chestnutvane/process/gateway/store/store_feed.cc
+++ b/chestnutvane/process/gateway/store/store_feed.cc
@@ -192,17 +192,21 @@
 {
     LoopState &state = loops_[indexOf(loop)];
     state.readRunning = false;
-    if (!isOk(result) && error(result).failure == StoreFailure::HistoryCompacted) {
+    const bool needsList = !isOk(result)
+            && (error(result).failure == StoreFailure::HistoryCompacted
+                || error(result).failure == StoreFailure::TooLarge);
+    if (needsList) {
         onSuccess(loop);
         if (!takeEra(loop, error(result).era, ReadKind::Changes))
             return;
-        // If even the version of a stale list is gone, only a list of the current entries helps.
+        // If even the version of a stale list is too old, only a list of the current entries helps.
         const bool wasStale = state.staleList.has_value();
         logEvent(Event::HistoryGap,
                  {{"prefix",
                    enumName(feedPrefixNames,
                             loop == Loop::Operator ? FeedPrefix::OperatorKeys
                                                    : FeedPrefix::Targets)},
+                  {"reason", enumName(storeFailureNames, error(result).failure)},
                   {"after", wasStale ? state.staleList->version : state.lastList.version}});
         state.staleList.reset();
         state.readKind = wasStale || loop == Loop::Operator ? ReadKind::List : ReadKind::StaleList;
--- a/chestnutvane/process/gateway/store/store_feed_test.cc
+++ b/chestnutvane/process/gateway/store/store_feed_test.cc
@@ -426,6 +426,8 @@
                                      const auto &done) {
             price_ += 1;
             changesAfter_.push_back(after);
+            if (areChangesTooLarge_)
+                return done(StoreError{StoreFailure::TooLarge, ""});
             if (after < firstHistory_)
                 return done(StoreError{StoreFailure::HistoryCompacted, ""});
             StoreChanges result;
@@ -456,6 +458,7 @@
     static constexpr double stalePrice = 0.1;
     std::uint64_t version_ = 0;
     std::uint64_t firstHistory_ = 0;
+    bool areChangesTooLarge_ = false;
     std::vector<StoreChange> history_;
     std::vector<std::uint64_t> changesAfter_;
     WatchResult staleTargets_;
@@ -509,5 +512,22 @@
     EXPECT_EQ(reads_["reader t/"], 1);
 }
 
+// Guards against changes that are asked for again and again although a slow link cannot carry all
+// versions of a large value in time.
+TEST_F(FeedHistoryTest, ChangesThatAreLongerThanAListLeadToAList)
+{
+    const auto feed = makeFeed("reader");
+    feed->start();
+    runUntil([this] { return targetStates_["reader"].size() == targetCount; });
+    areChangesTooLarge_ = true;
+    write("t/1", "", true);
+    runUntil([this] { return !targetStates_["reader"].contains("1"); });
+    EXPECT_EQ(reads_["reader t/"], 1);
+    areChangesTooLarge_ = false;
+    write("t/2", "", true);
+    runUntil([this] { return !targetStates_["reader"].contains("2"); });
+    EXPECT_EQ(reads_["reader t/"], 1);
+}
+
 } // namespace
 } // namespace chestnutvane
--- a/chestnutvane/process/store.h
+++ b/chestnutvane/process/store.h
@@ -28,7 +28,7 @@
 enum class StoreFailure {
     NotFound, // the key or the lease does not exist
     Conflict, // the key does not have the expected version
-    TooLarge, // the value exceeds 1 MB
+    TooLarge, // the value exceeds 1 MB, or the changes are longer than a list
     Unavailable, // the call had no effect
     ResponseLost, // the call may have taken effect; read the key to find out
     InvalidResponse, // the service sent a response that cannot be parsed
@@ -141,7 +141,7 @@
 
     // Reads what was written or removed under a prefix after afterVersion, without waiting. Not set
     // if the service cannot tell changes; callers list instead. Errors: Unavailable,
-    // InvalidResponse, HistoryCompacted.
+    // InvalidResponse, HistoryCompacted, TooLarge if a list is shorter than the changes.
     std::function<void(std::string prefix, std::uint64_t afterVersion,
                        std::function<void(Result<StoreChanges, StoreError>)>)>
             changesSince;
